--- /dev/null
+++ b/cmd/magnoliahill/main.go
@@ -0,0 +1,12 @@
+// Command magnoliahill runs an entry host and everything that operators do.
+package main
+
+import (
+	"os"
+
+	"magnoliahill.example/magnoliahill/internal/commander"
+)
+
+func main() {
+	os.Exit(commander.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/admitter/refusal.go
@@ -0,0 +1,55 @@
+package admitter
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"magnoliahill.example/magnoliahill/pkg/marker"
+)
+
+// Refusal is the answer to a request that this system does not get answered.
+type Refusal struct {
+	status     int
+	outcome    string
+	reason     string
+	text       string
+	retryAfter time.Duration // when to come back; 0 when coming back does not help
+}
+
+// NotRun returns a refusal of a request that no backend server ran.
+func NotRun(status int, reason, text string, retryAfter time.Duration) *Refusal {
+	return &Refusal{
+		status: status, outcome: marker.OutcomeNotRun, reason: reason,
+		text: text, retryAfter: retryAfter,
+	}
+}
+
+// Unknown returns a refusal of a request that a backend server may have run.
+func Unknown(status int, reason, text string) *Refusal {
+	return &Refusal{status: status, outcome: marker.OutcomeUnknown, reason: reason, text: text}
+}
+
+// Reason returns the machine-readable reason.
+func (r *Refusal) Reason() string { return r.reason }
+
+// Outcome returns not-run or unknown.
+func (r *Refusal) Outcome() string { return r.outcome }
+
+// Error returns the text for the caller.
+func (r *Refusal) Error() string { return r.text }
+
+// Write sends the refusal.
+func (r *Refusal) Write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set(marker.Outcome, r.outcome)
+	header.Set(marker.Reason, r.reason)
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if r.retryAfter > 0 {
+		seconds := int(math.Ceil(r.retryAfter.Seconds()))
+		header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(r.status)
+	_, _ = w.Write([]byte(r.text + "\n"))
+}
--- /dev/null
+++ b/internal/commander/check.go
@@ -0,0 +1,96 @@
+package commander
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"magnoliahill.example/magnoliahill/internal/loader"
+	"magnoliahill.example/magnoliahill/internal/parser"
+)
+
+func init() {
+	register("check", "Check service files or settings",
+		"Checks files as publish would, without the platform, and names every fault with file, line and field.",
+		func(out *output) command { return &checkCommand{out: out} })
+}
+
+type checkCommand struct {
+	out      *output
+	Settings bool `long:"settings" description:"the files are daemons' settings"`
+	Args     struct {
+		Files []string `positional-arg-name:"FILE" description:"files, or folders of .yaml files" required:"1"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute implements command.
+func (c *checkCommand) Execute([]string) error {
+	if c.Settings {
+		return c.checkSettings()
+	}
+	docs, err := readDocuments(c.Args.Files)
+	if err != nil {
+		return failed(ExitUsage, err)
+	}
+	catalog, err := parser.Build(1, docs)
+	if err != nil {
+		return failed(ExitUsage, err)
+	}
+	_, _ = fmt.Fprintf(c.out.stdout, "%d files are sound: %d services, %d workspaces, %d keys\n",
+		len(docs), len(catalog.Services()), len(catalog.Workspaces()), len(catalog.Keys()))
+	return nil
+}
+
+func (c *checkCommand) checkSettings() error {
+	for _, file := range c.Args.Files {
+		if _, err := loader.Load(file); err != nil {
+			return failed(ExitUsage, err)
+		}
+	}
+	_, _ = fmt.Fprintf(c.out.stdout, "%d settings files are sound\n", len(c.Args.Files))
+	return nil
+}
+
+// readDocuments reads files and the YAML files of folders. A file is known by
+// its base name, so that it is the same file from wherever it is published.
+func readDocuments(paths []string) ([]parser.Document, error) {
+	var files []string
+	for _, path := range paths {
+		info, err := os.Stat(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "file could not be read")
+		}
+		if !info.IsDir() {
+			files = append(files, path)
+			continue
+		}
+		inside, err := filepath.Glob(filepath.Join(path, "*.yaml"))
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, inside...)
+	}
+	sort.Strings(files)
+	seen := map[string]string{}
+	var docs []parser.Document
+	for _, file := range files {
+		name := filepath.Base(file)
+		if other, twice := seen[name]; twice {
+			return nil, errors.Errorf("files %s and %s have the same name", other, file)
+		}
+		if strings.ContainsAny(name, "\n\r") {
+			return nil, errors.Errorf("file name %q holds a line feed", name)
+		}
+		seen[name] = file
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, errors.Wrap(err, "file could not be read")
+		}
+		docs = append(docs, parser.NewDocument(name, data))
+	}
+	return docs, nil
+}
--- /dev/null
+++ b/internal/commander/serve.go
@@ -0,0 +1,47 @@
+package commander
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	"magnoliahill.example/magnoliahill/internal/loader"
+	"magnoliahill.example/magnoliahill/internal/server"
+)
+
+func init() {
+	register("serve", "Run an entry host",
+		"Runs an entry host until SIGTERM or SIGINT, then stops without cutting off a request.",
+		func(out *output) command { return &serveCommand{out: out} })
+}
+
+type serveCommand struct {
+	out  *output
+	Args struct {
+		Settings string `positional-arg-name:"SETTINGS" description:"settings file" required:"true"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute implements command.
+func (c *serveCommand) Execute([]string) error {
+	settings, err := loader.Load(c.Args.Settings)
+	if err != nil {
+		return failed(ExitUsage, err)
+	}
+	s, err := server.New(settings)
+	if err != nil {
+		return err
+	}
+	if err := s.Listen(); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go func() {
+		<-ctx.Done()
+		klog.InfoS("stop asked for; running requests are finished first", "running", s.Running())
+	}()
+	return s.Run(ctx)
+}
--- /dev/null
+++ b/internal/demonstrator/table.go
@@ -0,0 +1,101 @@
+package demonstrator
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+	"time"
+)
+
+// Row is what one scene measured. The five measures of the brief are latency,
+// headroom (as requests refused for want of it), drain time, the worst-served
+// workspace, and requests refused inside their workspace's rate.
+type Row struct {
+	Scene         string
+	Sent          int
+	Answered      int
+	P50, P99      time.Duration
+	WorstName     string
+	WorstServed   float64 // answered of what the rate allows, for the worst workspace
+	WrongRefusals int     // over-rate refusals of workspaces inside their rate
+	NoRoom        int     // refused, not run, for any other reason
+	Unknown       int
+	Failed        int // neither answered nor refused
+}
+
+func (d *demo) row(scene int, name string) Row {
+	r := Row{Scene: name, WorstServed: 1}
+	var took []time.Duration
+	sent, answered := map[string]int{}, map[string]int{}
+	refused := map[string]int{}
+	for _, o := range d.traffic.outcomes {
+		if o.scene != scene {
+			continue
+		}
+		r.Sent++
+		sent[o.workspace]++
+		switch {
+		case o.answered:
+			r.Answered++
+			answered[o.workspace]++
+			took = append(took, o.took)
+		case o.overRate:
+			refused[o.workspace]++
+		case o.unknown:
+			r.Unknown++
+		case o.reason != "":
+			r.NoRoom++
+		default:
+			r.Failed++
+		}
+	}
+	r.P50, r.P99 = quantile(took, 0.50), quantile(took, 0.99)
+	boosted := ""
+	if name == "tenant at 5 times its rate" {
+		boosted = d.fleet.layout.workspaces[0].name
+	}
+	for _, w := range d.fleet.layout.workspaces {
+		if w.name == boosted || sent[w.name] == 0 {
+			continue
+		}
+		r.WrongRefusals += refused[w.name]
+		served := float64(answered[w.name]) / float64(sent[w.name])
+		if served < r.WorstServed {
+			r.WorstServed, r.WorstName = served, w.name
+		}
+	}
+	return r
+}
+
+func quantile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	sort.Slice(values, func(i, j int) bool { return values[i] < values[j] })
+	return values[min(len(values)-1, int(q*float64(len(values))))]
+}
+
+// WriteText writes the result as a table.
+func (r *Result) WriteText(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "situation\tsent\tanswered\tp50 ms\tp99 ms\tworst served\trefused inside rate\tno room\tunknown\tfailed")
+	for _, row := range r.Rows {
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%.1f\t%.1f\t%.3f %s\t%d\t%d\t%d\t%d\n",
+			row.Scene, row.Sent, row.Answered, ms(row.P50), ms(row.P99),
+			row.WorstServed, row.WorstName, row.WrongRefusals, row.NoRoom, row.Unknown, row.Failed)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if len(r.Broken) == 0 {
+		_, err := fmt.Fprintln(w, "invariants: all held")
+		return err
+	}
+	for _, text := range r.Broken {
+		_, _ = fmt.Fprintln(w, "invariant broken: "+text)
+	}
+	return nil
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/loader/host.go
@@ -0,0 +1,19 @@
+package loader
+
+import "magnoliahill.example/magnoliahill/internal/reader"
+
+// Host is the settings section that says who the daemon is.
+type Host struct {
+	name string
+	zone string
+}
+
+// Name returns the host's name, unique in the fleet.
+func (h Host) Name() string { return h.name }
+
+// Zone returns the host's availability zone.
+func (h Host) Zone() string { return h.zone }
+
+func readHost(m *reader.Mapping) Host {
+	return Host{name: m.Required("name"), zone: m.Required("zone")}
+}
--- /dev/null
+++ b/internal/loader/membership.go
@@ -0,0 +1,35 @@
+package loader
+
+import (
+	"time"
+
+	"magnoliahill.example/magnoliahill/internal/reader"
+)
+
+// Membership is the settings section for heartbeats.
+type Membership struct {
+	heartbeat time.Duration
+	silence   time.Duration
+	peers     []string
+}
+
+// Heartbeat returns how often each other host is spoken to.
+func (m Membership) Heartbeat() time.Duration { return m.heartbeat }
+
+// Silence returns after how long without news a host is not live.
+func (m Membership) Silence() time.Duration { return m.silence }
+
+// Peers returns control addresses to start from when the host list is out.
+func (m Membership) Peers() []string { return m.peers }
+
+func readMembership(m *reader.Mapping) Membership {
+	s := Membership{
+		heartbeat: m.Duration("heartbeat", 500*time.Millisecond, 10*time.Millisecond, time.Minute),
+		silence:   m.Duration("silence", 2*time.Second, 50*time.Millisecond, 10*time.Minute),
+		peers:     m.Strings("peers"),
+	}
+	if s.silence < 2*s.heartbeat {
+		m.Fail("silence", "%v is below two heartbeats of %v", s.silence, s.heartbeat)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/loader/service.go
@@ -0,0 +1,45 @@
+package loader
+
+import (
+	"time"
+
+	"magnoliahill.example/magnoliahill/internal/reader"
+)
+
+// Lookup is the settings section for look-ups.
+type Lookup struct {
+	ttl time.Duration
+}
+
+// TTL returns how long callers may keep an answer.
+func (l Lookup) TTL() time.Duration { return l.ttl }
+
+func readLookup(m *reader.Mapping) Lookup {
+	return Lookup{ttl: m.Duration("ttl", 3*time.Second, 10*time.Millisecond, time.Hour)}
+}
+
+// Stop is the settings section for a planned stop.
+type Stop struct {
+	quiet time.Duration
+}
+
+// Quiet returns how long after the look-up time to live the daemon waits for
+// new requests to cease before it refuses them.
+func (s Stop) Quiet() time.Duration { return s.quiet }
+
+func readStop(m *reader.Mapping) Stop {
+	return Stop{quiet: m.Duration("quiet", time.Second, 0, time.Hour)}
+}
+
+// Keys is the settings section for keys.
+type Keys struct {
+	lease time.Duration
+}
+
+// Lease returns how long keys are served without news of the configuration
+// from anywhere; 0 means without limit.
+func (k Keys) Lease() time.Duration { return k.lease }
+
+func readKeys(m *reader.Mapping) Keys {
+	return Keys{lease: m.Duration("lease", 0, 0, 30*24*time.Hour)}
+}
--- /dev/null
+++ b/internal/loader/shares.go
@@ -0,0 +1,52 @@
+package loader
+
+import (
+	"time"
+
+	"magnoliahill.example/magnoliahill/internal/reader"
+)
+
+// Shares is the settings section for limits that all hosts share. It must be
+// the same on every host.
+type Shares struct {
+	lease      time.Duration
+	drift      time.Duration
+	floor      float64
+	fleetHosts int
+	zoneHosts  int
+	borrow     time.Duration
+	rebalance  time.Duration
+}
+
+// Lease returns how long a host uses more than its floor without contact.
+func (s Shares) Lease() time.Duration { return s.lease }
+
+// Drift returns the bound on the difference of clocks over one lease.
+func (s Shares) Drift() time.Duration { return s.drift }
+
+// FleetFloorPPM returns a host's floor in millionths of each fleet-wide limit.
+func (s Shares) FleetFloorPPM() int64 { return int64(s.floor*million) / int64(s.fleetHosts) }
+
+// HomeFloorPPM returns a host's floor in millionths of each limit of its zone.
+func (s Shares) HomeFloorPPM() int64 { return int64(s.floor*million) / int64(s.zoneHosts) }
+
+const million = 1_000_000
+
+// Borrow returns how long a request waits for another host's part before it is
+// refused over its rate.
+func (s Shares) Borrow() time.Duration { return s.borrow }
+
+// Rebalance returns how often a host asks for parts it is short of.
+func (s Shares) Rebalance() time.Duration { return s.rebalance }
+
+func readShares(m *reader.Mapping) Shares {
+	return Shares{
+		lease:      m.Duration("lease", 20*time.Second, 100*time.Millisecond, time.Hour),
+		drift:      m.Duration("drift", time.Second, time.Millisecond, time.Minute),
+		floor:      m.Float("floor", 1, 0, 1),
+		fleetHosts: m.Int("fleet-hosts", 12, 1, 100_000),
+		zoneHosts:  m.Int("zone-hosts", 2, 1, 10_000),
+		borrow:     m.Duration("borrow", 60*time.Millisecond, 0, 10*time.Second),
+		rebalance:  m.Duration("rebalance", 200*time.Millisecond, 10*time.Millisecond, time.Minute),
+	}
+}
--- /dev/null
+++ b/internal/messenger/codec.go
@@ -0,0 +1,171 @@
+// Package messenger carries messages between hosts. It maps domain types to
+// wire types and back by hand.
+package messenger
+
+import (
+	"magnoliahill.example/magnoliahill/internal/clocker"
+	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
+	"magnoliahill.example/magnoliahill/internal/watcher"
+	"magnoliahill.example/magnoliahill/pkg/limiter"
+	"magnoliahill.example/magnoliahill/pkg/sharer"
+	"magnoliahill.example/magnoliahill/pkg/tracker"
+)
+
+// EncodeID maps a host id to the wire.
+func EncodeID(id tracker.HostID) *peerv1.HostID {
+	return &peerv1.HostID{Name: id.Name, Incarnation: id.Incarnation}
+}
+
+// DecodeID maps a host id from the wire.
+func DecodeID(id *peerv1.HostID) tracker.HostID {
+	return tracker.HostID{Name: id.GetName(), Incarnation: id.GetIncarnation()}
+}
+
+// EncodeStamp maps a stamp to the wire.
+func EncodeStamp(s clocker.Stamp) *peerv1.Stamp {
+	return &peerv1.Stamp{Wall: s.Wall, Logical: s.Logical}
+}
+
+// DecodeStamp maps a stamp from the wire.
+func DecodeStamp(s *peerv1.Stamp) clocker.Stamp {
+	return clocker.Stamp{Wall: s.GetWall(), Logical: s.GetLogical()}
+}
+
+// EncodeBeats maps heartbeats to the wire.
+func EncodeBeats(beats []tracker.Beat) []*peerv1.Beat {
+	wire := make([]*peerv1.Beat, 0, len(beats))
+	for _, b := range beats {
+		wire = append(wire, &peerv1.Beat{
+			Id: EncodeID(b.ID), Zone: b.Zone, Control: b.Control, Data: b.Data,
+			State: int32(b.State), Counter: b.Counter,
+		})
+	}
+	return wire
+}
+
+// DecodeBeats maps heartbeats from the wire. One with an unknown state is
+// dropped.
+func DecodeBeats(wire []*peerv1.Beat) []tracker.Beat {
+	beats := make([]tracker.Beat, 0, len(wire))
+	for _, b := range wire {
+		state := tracker.State(b.GetState())
+		if state < tracker.Serving || state > tracker.Gone {
+			continue
+		}
+		beats = append(beats, tracker.Beat{
+			ID: DecodeID(b.GetId()), Zone: b.GetZone(), Control: b.GetControl(), Data: b.GetData(),
+			State: state, Counter: b.GetCounter(),
+		})
+	}
+	return beats
+}
+
+// EncodeHead maps a configuration head to the wire.
+func EncodeHead(h watcher.Head) *peerv1.Head {
+	return &peerv1.Head{Generation: h.Generation, ChangeId: h.ChangeID, Author: h.Author, Files: h.Files}
+}
+
+// DecodeHead maps a configuration head from the wire.
+func DecodeHead(h *peerv1.Head) watcher.Head {
+	return watcher.Head{
+		Generation: h.GetGeneration(), ChangeID: h.GetChangeId(),
+		Author: h.GetAuthor(), Files: h.GetFiles(),
+	}
+}
+
+// EncodeRoster maps a roster to the wire.
+func EncodeRoster(r sharer.Roster) *peerv1.Roster {
+	wire := &peerv1.Roster{Epoch: r.Epoch, Taker: EncodeID(r.Taker)}
+	for _, m := range r.Members {
+		wire.Members = append(wire.Members, &peerv1.Member{
+			Id: EncodeID(m.ID), Zone: m.Zone, Control: m.Control, Joined: m.Joined,
+			FleetFloorPpm: m.Floor.FleetPPM, HomeFloorPpm: m.Floor.HomePPM,
+		})
+	}
+	return wire
+}
+
+// DecodeRoster maps a roster from the wire.
+func DecodeRoster(wire *peerv1.Roster) sharer.Roster {
+	r := sharer.Roster{Epoch: wire.GetEpoch(), Taker: DecodeID(wire.GetTaker())}
+	for _, m := range wire.GetMembers() {
+		r.Members = append(r.Members, sharer.Member{
+			ID: DecodeID(m.GetId()), Zone: m.GetZone(), Control: m.GetControl(),
+			Floor:  sharer.Floor{FleetPPM: m.GetFleetFloorPpm(), HomePPM: m.GetHomeFloorPpm()},
+			Joined: m.GetJoined(),
+		})
+	}
+	return r
+}
+
+// EncodeAmount maps an amount to the wire.
+func EncodeAmount(a limiter.Amount) *peerv1.Amount {
+	return &peerv1.Amount{Rate: a.Rate, Capacity: a.Capacity}
+}
+
+// DecodeAmount maps an amount from the wire.
+func DecodeAmount(a *peerv1.Amount) limiter.Amount {
+	return limiter.Amount{Rate: a.GetRate(), Capacity: a.GetCapacity()}
+}
+
+// EncodeReport maps a census report to the wire.
+func EncodeReport(r sharer.Report) *peerv1.Report {
+	wire := &peerv1.Report{
+		From: EncodeID(r.From), To: EncodeID(r.To), Epoch: r.Epoch, Generation: r.Generation,
+	}
+	for name, amount := range r.Holdings {
+		wire.Holdings = append(wire.Holdings, &peerv1.Holding{Limit: name, Amount: EncodeAmount(amount)})
+	}
+	return wire
+}
+
+// DecodeReport maps a census report from the wire.
+func DecodeReport(wire *peerv1.Report) sharer.Report {
+	r := sharer.Report{
+		Message:    sharer.Message{From: DecodeID(wire.GetFrom()), To: DecodeID(wire.GetTo()), Epoch: wire.GetEpoch()},
+		Generation: wire.GetGeneration(),
+		Holdings:   map[string]limiter.Amount{},
+	}
+	for _, h := range wire.GetHoldings() {
+		r.Holdings[h.GetLimit()] = DecodeAmount(h.GetAmount())
+	}
+	return r
+}
+
+// EncodeTransfer maps a transfer to the wire.
+func EncodeTransfer(t sharer.Transfer) *peerv1.Transfer {
+	return &peerv1.Transfer{
+		From: EncodeID(t.From), To: EncodeID(t.To), Epoch: t.Epoch, Limit: t.Limit,
+		Total: EncodeAmount(t.Total), Given: EncodeAmount(t.Given), Tokens: t.Tokens,
+	}
+}
+
+// DecodeTransfer maps a transfer from the wire.
+func DecodeTransfer(t *peerv1.Transfer) sharer.Transfer {
+	return sharer.Transfer{
+		Message: sharer.Message{From: DecodeID(t.GetFrom()), To: DecodeID(t.GetTo()), Epoch: t.GetEpoch()},
+		Limit:   t.GetLimit(), Total: DecodeAmount(t.GetTotal()),
+		Given: DecodeAmount(t.GetGiven()), Tokens: t.GetTokens(),
+	}
+}
+
+// EncodeAsk maps an ask to the wire.
+func EncodeAsk(a sharer.Ask) *peerv1.AskRequest {
+	return &peerv1.AskRequest{
+		From: EncodeID(a.From), To: EncodeID(a.To), Epoch: a.Epoch, Limit: a.Limit,
+		Total: EncodeAmount(a.Total), Have: EncodeAmount(a.Have),
+		Tokens: a.Tokens, Demand: a.Demand, Need: a.Need,
+	}
+}
+
+// DecodeAsk maps an ask from the wire. Negative values, which no host sends,
+// count as nothing.
+func DecodeAsk(a *peerv1.AskRequest) sharer.Ask {
+	have := DecodeAmount(a.GetHave())
+	return sharer.Ask{
+		Message: sharer.Message{From: DecodeID(a.GetFrom()), To: DecodeID(a.GetTo()), Epoch: a.GetEpoch()},
+		Limit:   a.GetLimit(), Total: DecodeAmount(a.GetTotal()),
+		Have:   limiter.Amount{Rate: max(0, have.Rate), Capacity: max(0, have.Capacity)},
+		Tokens: max(0, a.GetTokens()), Demand: max(0, a.GetDemand()), Need: max(0, a.GetNeed()),
+	}
+}
--- /dev/null
+++ b/internal/parser/service.go
@@ -0,0 +1,77 @@
+package parser
+
+import (
+	"net"
+	"strings"
+	"time"
+
+	"magnoliahill.example/magnoliahill/internal/reader"
+	"magnoliahill.example/magnoliahill/pkg/cataloger"
+)
+
+const (
+	maxTimeout     = time.Hour
+	maxSlots       = 100_000
+	maxConnections = 1_000_000
+)
+
+func origin(m *reader.Mapping) cataloger.Origin {
+	return cataloger.NewOrigin(m.File(), m.Line())
+}
+
+func parseService(m *reader.Mapping) cataloger.Parts {
+	name := m.Required("service")
+	class := cataloger.Urgent
+	queue := cataloger.DefaultUrgentQueue
+	if m.Choice("class", "urgent", "urgent", "patient") == "patient" {
+		class = cataloger.Patient
+		queue = cataloger.DefaultPatientQueue
+	}
+	request := m.Duration("request-timeout", cataloger.DefaultRequestTimeout, time.Millisecond, maxTimeout)
+	queue = m.Duration("queue-timeout", min(queue, request), 0, maxTimeout)
+	if queue > request {
+		m.Fail("queue-timeout", "%v is above the request timeout %v", queue, request)
+	}
+	service := cataloger.NewService(origin(m), name, class,
+		cataloger.WithOpenRoutes(openRoutes(m)...),
+		cataloger.WithTimeouts(request, queue),
+		cataloger.WithRetryBudget(m.Float("retry-budget", cataloger.DefaultRetryBudget, 0, 1)),
+		cataloger.WithColdStart(m.Duration("cold-start", cataloger.DefaultColdStart, 0, maxTimeout)),
+		cataloger.WithPromise(m.Duration("promise", cataloger.DefaultPromise, time.Millisecond, maxTimeout)),
+		cataloger.WithBackendServers(backendServers(m)...),
+	)
+	return cataloger.Parts{Services: []*cataloger.Service{service}}
+}
+
+func openRoutes(m *reader.Mapping) []string {
+	routes := m.Strings("open-routes")
+	for _, route := range routes {
+		if !strings.HasPrefix(route, "/") {
+			m.Fail("open-routes", "route %q does not start with a slash", route)
+		}
+	}
+	return routes
+}
+
+func backendServers(m *reader.Mapping) []*cataloger.BackendServer {
+	var servers []*cataloger.BackendServer
+	for _, one := range m.Mappings("backend-servers") {
+		address := one.Required("address")
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			one.Fail("address", "%q is not host:port", address)
+		}
+		servers = append(servers, cataloger.NewBackendServer(
+			origin(one),
+			one.String("name", address),
+			address,
+			one.Required("zone"),
+			one.Int("slots", 8, 1, maxSlots),
+			one.Int("connections", 256, 1, maxConnections),
+			one.Bool("leaving", false),
+		))
+	}
+	if len(servers) == 0 {
+		m.Fail("backend-servers", "at least one backend server is required")
+	}
+	return servers
+}
--- /dev/null
+++ b/internal/parser/topology.go
@@ -0,0 +1,45 @@
+package parser
+
+import (
+	"time"
+
+	"magnoliahill.example/magnoliahill/internal/reader"
+	"magnoliahill.example/magnoliahill/pkg/cataloger"
+)
+
+const (
+	maxLinkMbits   = 10_000_000
+	bytesPerMbit   = 1_000_000 / 8
+	maxLinkLatency = 10 * time.Second
+)
+
+func parseTopology(m *reader.Mapping) cataloger.Parts {
+	var parts cataloger.Parts
+	for _, one := range m.Mappings("regions") {
+		parts.Regions = append(parts.Regions, parseRegion(one))
+	}
+	for _, one := range m.Mappings("links") {
+		parts.Links = append(parts.Links, parseLink(one))
+	}
+	return parts
+}
+
+func parseRegion(m *reader.Mapping) *cataloger.Region {
+	name := m.Required("name")
+	zones := m.Strings("zones")
+	if len(zones) == 0 {
+		m.Fail("zones", "at least one availability zone is required")
+	}
+	return cataloger.NewRegion(origin(m), name, zones)
+}
+
+func parseLink(m *reader.Mapping) *cataloger.Link {
+	ends := m.Strings("between")
+	if len(ends) != 2 {
+		m.Fail("between", "expected two regions, found %d", len(ends))
+		ends = []string{"", ""}
+	}
+	mbits := m.Int("capacity-mbits", 1000, 1, maxLinkMbits)
+	latency := m.Duration("latency", 20*time.Millisecond, 0, maxLinkLatency)
+	return cataloger.NewLink(origin(m), ends[0], ends[1], int64(mbits)*bytesPerMbit, latency)
+}
--- /dev/null
+++ b/internal/parser/workspace.go
@@ -0,0 +1,55 @@
+package parser
+
+import (
+	"encoding/hex"
+
+	"magnoliahill.example/magnoliahill/internal/reader"
+	"magnoliahill.example/magnoliahill/pkg/cataloger"
+)
+
+const (
+	minRate   = 0.001     // requests a second
+	maxRate   = 1_000_000 // requests a second
+	maxBurst  = 1_000_000 // requests
+	maxWeight = 1000
+)
+
+func parseWorkspace(m *reader.Mapping) cataloger.Parts {
+	name := m.Required("workspace")
+	if !m.Has("rate") {
+		m.Fail("rate", "a value is required")
+	}
+	rate := m.Float("rate", 1, minRate, maxRate)
+	workspace := cataloger.NewWorkspace(
+		origin(m),
+		name,
+		m.Strings("services"),
+		rate,
+		m.Float("burst", max(rate, 1), 1, maxBurst),
+		m.Int("weight", 1, 1, maxWeight),
+	)
+	return cataloger.Parts{Workspaces: []*cataloger.Workspace{workspace}}
+}
+
+func parseKeys(m *reader.Mapping) cataloger.Parts {
+	workspace := m.Required("keys-of")
+	var parts cataloger.Parts
+	for _, one := range m.Mappings("keys") {
+		id := one.Required("id")
+		hash := parseHash(one)
+		parts.Keys = append(parts.Keys, cataloger.NewKey(origin(one), id, hash, workspace))
+	}
+	return parts
+}
+
+func parseHash(m *reader.Mapping) cataloger.KeyHash {
+	var hash cataloger.KeyHash
+	text := m.Required("sha256")
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != len(hash) {
+		m.Fail("sha256", "expected %d hexadecimal digits", 2*len(hash))
+		return hash
+	}
+	copy(hash[:], raw)
+	return hash
+}
--- /dev/null
+++ b/internal/publisher/file.go
@@ -0,0 +1,42 @@
+package publisher
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/pkg/errors"
+
+	"magnoliahill.example/magnoliahill/internal/keeper"
+	"magnoliahill.example/magnoliahill/internal/parser"
+	"magnoliahill.example/magnoliahill/internal/watcher"
+)
+
+// A stored file is its name, a line feed, and its content.
+
+func encodeFile(doc parser.Document) []byte {
+	return append([]byte(doc.Name()+"\n"), doc.Data()...)
+}
+
+func decodeFile(data []byte) (parser.Document, error) {
+	name, content, ok := bytes.Cut(data, []byte("\n"))
+	if !ok {
+		return parser.Document{}, errors.New("stored file has no name")
+	}
+	return parser.NewDocument(string(name), content), nil
+}
+
+// FetchFile reads a file from the store by its hash.
+func FetchFile(ctx context.Context, store keeper.Store, hash string) (parser.Document, error) {
+	object, err := store.Get(ctx, watcher.FileKey(hash))
+	if err != nil {
+		return parser.Document{}, err
+	}
+	doc, err := decodeFile(object.Value())
+	if err != nil {
+		return parser.Document{}, err
+	}
+	if doc.Hash() != hash {
+		return parser.Document{}, errors.Errorf("stored file %q does not have hash %s", doc.Name(), hash)
+	}
+	return doc, nil
+}
--- /dev/null
+++ b/internal/recorder/latency.go
@@ -0,0 +1,163 @@
+package recorder
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	lowest  = int64(1)          // microseconds
+	highest = int64(60_000_000) // microseconds
+	digits  = 2                 // significant figures
+)
+
+// Outcome counts how requests of one workspace ended.
+type Outcome struct {
+	Answered     int64
+	OverRate     int64 // refused over the workspace's rate
+	RefusedOther int64 // refused for any other reason, not run
+	Unknown      int64
+}
+
+// Key names what latency is recorded for.
+type Key struct {
+	Service   string
+	Workspace string
+}
+
+type series struct {
+	mu        sync.Mutex
+	histogram *hdrhistogram.Histogram // microseconds
+	outcome   Outcome
+}
+
+// Latency records latency and outcomes by service and workspace. Histograms of
+// several hosts can be added up.
+type Latency struct {
+	mu     sync.RWMutex
+	series map[Key]*series
+}
+
+// NewLatency returns an empty record.
+func NewLatency() *Latency { return &Latency{series: map[Key]*series{}} }
+
+func (l *Latency) get(key Key) *series {
+	l.mu.RLock()
+	s := l.series[key]
+	l.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s = l.series[key]; s == nil {
+		s = &series{histogram: hdrhistogram.New(lowest, highest, digits)}
+		l.series[key] = s
+	}
+	return s
+}
+
+// Answered records the latency of an answered request.
+func (l *Latency) Answered(key Key, took time.Duration) {
+	s := l.get(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outcome.Answered++
+	_ = s.histogram.RecordValue(min(max(took.Microseconds(), lowest), highest))
+}
+
+// Refused records a request that was refused.
+func (l *Latency) Refused(key Key, overRate, unknown bool) {
+	s := l.get(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case unknown:
+		s.outcome.Unknown++
+	case overRate:
+		s.outcome.OverRate++
+	default:
+		s.outcome.RefusedOther++
+	}
+}
+
+// Summary is the record of one workspace at one service.
+type Summary struct {
+	Key
+	Outcome
+	P50, P99, Max time.Duration
+	Encoded       []byte // histogram in the HdrHistogram V2 format
+}
+
+// Summaries returns all records in order of service and workspace.
+func (l *Latency) Summaries() []Summary {
+	l.mu.RLock()
+	keys := make([]Key, 0, len(l.series))
+	for key := range l.series {
+		keys = append(keys, key)
+	}
+	l.mu.RUnlock()
+	sort.Slice(keys, func(i, j int) bool {
+		if keys[i].Service != keys[j].Service {
+			return keys[i].Service < keys[j].Service
+		}
+		return keys[i].Workspace < keys[j].Workspace
+	})
+	summaries := make([]Summary, 0, len(keys))
+	for _, key := range keys {
+		s := l.get(key)
+		s.mu.Lock()
+		encoded, err := s.histogram.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+		if err != nil {
+			encoded = nil
+		}
+		summary := summarize(key, s.outcome, s.histogram)
+		s.mu.Unlock()
+		summary.Encoded = encoded
+		summaries = append(summaries, summary)
+	}
+	return summaries
+}
+
+func summarize(key Key, outcome Outcome, h *hdrhistogram.Histogram) Summary {
+	return Summary{
+		Key:     key,
+		Outcome: outcome,
+		P50:     time.Duration(h.ValueAtQuantile(50)) * time.Microsecond,
+		P99:     time.Duration(h.ValueAtQuantile(99)) * time.Microsecond,
+		Max:     time.Duration(h.Max()) * time.Microsecond,
+	}
+}
+
+// Merge adds up summaries of several hosts by service and workspace.
+func Merge(all []Summary) ([]Summary, error) {
+	histograms := map[Key]*hdrhistogram.Histogram{}
+	outcomes := map[Key]Outcome{}
+	var keys []Key
+	for _, one := range all {
+		h, err := hdrhistogram.Decode(one.Encoded)
+		if err != nil {
+			return nil, err
+		}
+		if known := histograms[one.Key]; known != nil {
+			known.Merge(h)
+		} else {
+			histograms[one.Key] = h
+			keys = append(keys, one.Key)
+		}
+		sum := outcomes[one.Key]
+		sum.Answered += one.Answered
+		sum.OverRate += one.OverRate
+		sum.RefusedOther += one.RefusedOther
+		sum.Unknown += one.Unknown
+		outcomes[one.Key] = sum
+	}
+	merged := make([]Summary, 0, len(keys))
+	for _, key := range keys {
+		merged = append(merged, summarize(key, outcomes[key], histograms[key]))
+	}
+	return merged, nil
+}
--- /dev/null
+++ b/internal/server/exchange.go
@@ -0,0 +1,175 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"magnoliahill.example/magnoliahill/internal/messenger"
+	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
+	"magnoliahill.example/magnoliahill/internal/recorder"
+	"magnoliahill.example/magnoliahill/internal/watcher"
+	"magnoliahill.example/magnoliahill/pkg/sharer"
+)
+
+const exchangeTimeout = time.Second
+
+// exchangeAll speaks to every other host that is known by its heartbeats or by
+// the platform's list.
+func (l *loop) exchangeAll(now time.Duration) {
+	addresses := map[string]bool{}
+	for _, host := range l.tracker.Known(now) {
+		addresses[host.Control] = true
+	}
+	for _, address := range l.listed {
+		addresses[address] = true
+	}
+	delete(addresses, l.server.settings.Listen().Control())
+	for address := range addresses {
+		l.exchange(now, address)
+	}
+}
+
+func (l *loop) exchange(now time.Duration, address string) {
+	if l.busy[address] {
+		return
+	}
+	l.busy[address] = true
+	req := l.request(now, address)
+	go func() {
+		sent := l.server.clock.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+		defer cancel()
+		resp, err := l.server.messenger.Peer(address).Exchange(ctx, connect.NewRequest(req))
+		m := &exchanged{address: address, sent: sent, err: err}
+		if err == nil {
+			m.resp = resp.Msg
+		}
+		l.send(m)
+	}()
+}
+
+func (l *loop) request(now time.Duration, address string) *peerv1.ExchangeRequest {
+	roster := l.server.sharer.Roster()
+	head := l.watcher.Head()
+	req := &peerv1.ExchangeRequest{
+		Stamp:      messenger.EncodeStamp(l.server.recorder.TimeLine().Clock().Now()),
+		Beats:      messenger.EncodeBeats(l.tracker.Beats(now)),
+		Generation: head.Generation,
+		Epoch:      roster.Epoch,
+	}
+	told := l.told[address]
+	if told.generation < head.Generation {
+		req.Head = messenger.EncodeHead(head)
+	}
+	if told.epoch < roster.Epoch {
+		req.Roster = messenger.EncodeRoster(roster)
+	}
+	taker, ok := roster.Member(roster.Taker)
+	if ok && taker.Control == address && !l.server.sharer.Confirmed() {
+		req.To = messenger.EncodeID(taker.ID)
+		req.Report = messenger.EncodeReport(l.server.sharer.Report())
+	}
+	return req
+}
+
+// exchanged is the end of an exchange that this host began.
+type exchanged struct {
+	address string
+	sent    time.Duration
+	resp    *peerv1.ExchangeResponse
+	err     error
+}
+
+func (m *exchanged) apply(l *loop, now time.Duration) {
+	delete(l.busy, m.address)
+	if m.err != nil {
+		delete(l.told, m.address)
+		return
+	}
+	resp := m.resp
+	l.take(now, resp.GetStamp(), resp.GetBeats(), resp.GetHead(), resp.GetRoster())
+	l.told[m.address] = peerKnowledge{generation: resp.GetGeneration(), epoch: resp.GetEpoch()}
+	l.server.sharer.Confirm(now, resp.GetVerdictEpoch(), sharer.Verdict(resp.GetVerdict()))
+	l.server.sharer.Heard(now, m.sent, messenger.DecodeID(resp.GetFrom()), resp.GetEpoch())
+	if resp.GetGeneration() >= l.watcher.Head().Generation {
+		l.server.configNews.Store(int64(now))
+	}
+	// Tell at once what the other side turned out to lack.
+	if resp.GetGeneration() < l.watcher.Head().Generation || resp.GetEpoch() < l.server.sharer.Roster().Epoch {
+		l.exchange(now, m.address)
+	}
+}
+
+// take takes in what another host sent, in either direction.
+func (l *loop) take(now time.Duration, stamp *peerv1.Stamp, beats []*peerv1.Beat, head *peerv1.Head, roster *peerv1.Roster) {
+	l.server.recorder.TimeLine().Clock().Merge(messenger.DecodeStamp(stamp))
+	l.tracker.Heard(now, messenger.DecodeBeats(beats)...)
+	if roster != nil {
+		l.adoptRoster(now, messenger.DecodeRoster(roster))
+	}
+	if head != nil {
+		l.offerHead(messenger.DecodeHead(head))
+	}
+}
+
+func (l *loop) offerHead(head watcher.Head) {
+	l.watcher.Offer(head)
+	l.advance()
+}
+
+func (l *loop) adoptRoster(now time.Duration, roster sharer.Roster) {
+	before := l.server.sharer.Roster().Epoch
+	l.server.sharer.Adopt(now, roster)
+	l.entered(now, before)
+}
+
+// entered starts what a new epoch brings with it.
+func (l *loop) entered(now time.Duration, before int64) {
+	roster := l.server.sharer.Roster()
+	if roster.Epoch == before {
+		return
+	}
+	l.event(recorder.EpochEntered, roster.Taker.String(), "epoch of "+plural(len(roster.Members), "member"))
+	l.steward.Entered(now, l.server.sharer.Limits(), l.server.sharer.Lost())
+	if l.census != nil && l.census.Roster().Epoch < roster.Epoch {
+		l.census = nil
+	}
+	for address := range l.told {
+		l.exchange(now, address)
+	}
+}
+
+// received is an exchange that another host began.
+type received struct {
+	base
+	req  *peerv1.ExchangeRequest
+	resp *peerv1.ExchangeResponse
+}
+
+func (m *received) apply(l *loop, now time.Duration) {
+	req := m.req
+	l.take(now, req.GetStamp(), req.GetBeats(), req.GetHead(), req.GetRoster())
+	head := l.watcher.Head()
+	roster := l.server.sharer.Roster()
+	m.resp = &peerv1.ExchangeResponse{
+		From:       messenger.EncodeID(l.server.id),
+		Stamp:      messenger.EncodeStamp(l.server.recorder.TimeLine().Clock().Now()),
+		Beats:      messenger.EncodeBeats(l.tracker.Beats(now)),
+		Generation: head.Generation,
+		Epoch:      roster.Epoch,
+	}
+	if req.GetGeneration() < head.Generation {
+		m.resp.Head = messenger.EncodeHead(head)
+	}
+	if req.GetEpoch() < roster.Epoch {
+		m.resp.Roster = messenger.EncodeRoster(roster)
+	}
+	if req.GetReport() != nil && l.census != nil && messenger.DecodeID(req.GetTo()) == l.server.id {
+		m.resp.VerdictEpoch = l.census.Roster().Epoch
+		m.resp.Verdict = int32(l.census.Add(messenger.DecodeReport(req.GetReport())))
+	}
+}
+
+var _ message = (*received)(nil)
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,99 @@
+// Package platform is a stand-in for the platform: an object store with
+// versions, conditional updates and watches, and a list of hosts that lags.
+package platform
+
+import (
+	"sync"
+	"time"
+)
+
+type object struct {
+	version int64
+	value   []byte
+}
+
+// store keeps the objects in memory.
+type store struct {
+	mu      sync.Mutex
+	objects map[string]object
+	changed chan struct{} // closed and replaced at each change
+}
+
+func newStore() *store {
+	return &store{objects: map[string]object{}, changed: make(chan struct{})}
+}
+
+func (s *store) get(key string) (object, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[key], s.changed
+}
+
+// put replaces an object whose version is the one given.
+func (s *store) put(key string, value []byte, version int64) (int64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present := s.objects[key]
+	if present.version != version {
+		return present.version, false
+	}
+	s.objects[key] = object{version: version + 1, value: value}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return version + 1, true
+}
+
+// Host is one entry of the host list.
+type Host struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	State   string `json:"state"` // "live" or "leaving"
+}
+
+// hostList shows each change only after a lag.
+type hostList struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	changes []hostChange // by time of the change
+}
+
+type hostChange struct {
+	at   time.Time
+	host Host
+	gone bool
+}
+
+func (l *hostList) record(c hostChange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.changes = append(l.changes, c)
+}
+
+func (l *hostList) seen(now time.Time) []Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	byID := map[string]Host{}
+	var order []string
+	for _, c := range l.changes {
+		if now.Sub(c.at) < l.lag {
+			continue
+		}
+		if c.gone {
+			delete(byID, c.host.ID)
+			continue
+		}
+		if _, known := byID[c.host.ID]; !known {
+			order = append(order, c.host.ID)
+		}
+		byID[c.host.ID] = c.host
+	}
+	hosts := []Host{}
+	for _, id := range order {
+		if host, ok := byID[id]; ok {
+			hosts = append(hosts, host)
+			delete(byID, id)
+		}
+	}
+	return hosts
+}
--- /dev/null
+++ b/pkg/marker/marker.go
@@ -0,0 +1,53 @@
+// Package marker names the headers by which callers, entry hosts and backend
+// servers tell one another what became of a request.
+package marker
+
+// Headers between callers and entry hosts.
+const (
+	Key       = "Magnoliahill-Key"        // credential; Authorization: Bearer is taken too
+	Service   = "Magnoliahill-Service"    // service called; else the first label of the host name
+	Timeout   = "Magnoliahill-Timeout-Ms" // milliseconds the caller waits
+	Outcome   = "Magnoliahill-Outcome"    // one of the Outcome constants
+	Reason    = "Magnoliahill-Reason"     // one of the Reason constants, on refusals
+	RequestID = "Magnoliahill-Request-Id"
+	Host      = "Magnoliahill-Host" // entry host that answered
+)
+
+// Headers between entry hosts and backend servers.
+const (
+	Workspace = "Magnoliahill-Workspace" // set from the key; a caller's own is removed
+	Deadline  = "Magnoliahill-Deadline-Ms"
+	Dispatch  = "Magnoliahill-Dispatch-Id" // new for each try; echoed by backend servers that can
+	NotRun    = "X-Not-Run"                // "1" on an answer that says the request was not run
+	Load      = "X-Load-Report"            // requests running at the backend server
+)
+
+// Prefix starts every header that only this system may set.
+const Prefix = "Magnoliahill-"
+
+// Outcomes of a request as its caller sees them.
+const (
+	OutcomeAnswered = "answered" // the backend server's own answer
+	OutcomeNotRun   = "not-run"  // no backend server ran it; safe to send again
+	OutcomeUnknown  = "unknown"  // a backend server may have run it
+)
+
+// Reasons of a refusal.
+const (
+	ReasonBadRequest  = "bad-request"
+	ReasonNoKey       = "no-key"
+	ReasonKeyUnknown  = "key-unknown" // never issued, or withdrawn
+	ReasonNoService   = "service-unknown"
+	ReasonForbidden   = "workspace-not-allowed"
+	ReasonRate        = "over-rate"
+	ReasonQueueFull   = "queue-full"
+	ReasonQueueTime   = "queue-timeout"
+	ReasonNoBackend   = "no-backend-server"
+	ReasonStopping    = "host-stopping"
+	ReasonNoConfig    = "no-configuration"
+	ReasonDeadline    = "deadline"
+	ReasonCanceled    = "canceled"
+	ReasonBroken      = "connection-broken"
+	ReasonStaleAnswer = "stale-answer"
+	ReasonShed        = "backend-server-shed"
+)
--- /dev/null
+++ b/pkg/sharer/transfer.go
@@ -0,0 +1,147 @@
+package sharer
+
+import (
+	"time"
+
+	"magnoliahill.example/magnoliahill/pkg/limiter"
+	"magnoliahill.example/magnoliahill/pkg/tracker"
+)
+
+// Ask returns the request for a part of a limit, with the units missing for the
+// request at hand.
+func (s *Sharer) Ask(now time.Duration, to tracker.HostID, limit string, need int64) (Ask, bool) {
+	e := s.entry(limit)
+	if e == nil || !s.Confirmed() || int64(now) >= s.lapses.Load() {
+		return Ask{}, false
+	}
+	epoch := s.Roster().Epoch
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.checkLease(now, e)
+	e.roll(now)
+	return Ask{
+		Message: Message{From: s.self, To: to, Epoch: epoch},
+		Limit:   limit,
+		Total:   e.limit.total,
+		Have:    e.bucket.Amount(),
+		Tokens:  e.bucket.Tokens(now),
+		Demand:  max(e.demand, e.asked),
+		Need:    need * limiter.Unit,
+	}, true
+}
+
+// Give answers an ask. What the answer grants has left this host before it is
+// returned. An answer that grants nothing new still repeats the sums, so that a
+// lost one is made good.
+func (s *Sharer) Give(now time.Duration, ask Ask) (Transfer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entry(ask.Limit)
+	if e == nil || !s.valid(ask.Message) {
+		return Transfer{}, false
+	}
+	asker, member := s.roster.Member(ask.From)
+	if !member {
+		return Transfer{}, false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.limit.total != ask.Total {
+		return Transfer{}, false
+	}
+	s.checkLease(now, e)
+	part, tokens := e.share(now, ask, asker.base(e.limit), s.me.Load().base(e.limit))
+	total := e.give(now, ask.From, part, tokens)
+	return Transfer{
+		Message: Message{From: s.self, To: ask.From, Epoch: s.roster.Epoch},
+		Limit:   ask.Limit,
+		Total:   e.limit.total,
+		Given:   total.amount,
+		Tokens:  total.tokens,
+	}, true
+}
+
+func (s *Sharer) valid(m Message) bool {
+	return s.confirmed && m.To == s.self && m.Epoch == s.roster.Epoch
+}
+
+// Receive takes in a transfer, in any order and any number of times, and
+// reports whether it brought anything new.
+func (s *Sharer) Receive(now time.Duration, t Transfer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entry(t.Limit)
+	if e == nil || !s.valid(t.Message) {
+		s.lost++
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.limit.total != t.Total {
+		s.lost++
+		return false
+	}
+	// A lapsed lease binds before anything is added: the census may have
+	// counted this host with its floor already.
+	s.checkLease(now, e)
+	if int64(now) >= s.lapses.Load() {
+		s.lost++
+		return false
+	}
+	return e.receive(now, t)
+}
+
+// HandOver returns transfers that give everything free to another member. A
+// host that stops calls it until nothing is left.
+func (s *Sharer) HandOver(now time.Duration, to tracker.HostID) []Transfer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, member := s.roster.Member(to); !member || to == s.self || !s.confirmed {
+		return nil
+	}
+	var transfers []Transfer
+	for name, e := range *s.entries.Load() {
+		e.mu.Lock()
+		s.checkLease(now, e)
+		part, tokens := e.all(now)
+		total := e.give(now, to, part, tokens)
+		if !total.amount.IsZero() {
+			transfers = append(transfers, Transfer{
+				Message: Message{From: s.self, To: to, Epoch: s.roster.Epoch},
+				Limit:   name, Total: e.limit.total, Given: total.amount, Tokens: total.tokens,
+			})
+		}
+		e.mu.Unlock()
+	}
+	return transfers
+}
+
+// all returns everything that can leave now.
+func (e *entry) all(now time.Duration) (limiter.Amount, int64) {
+	have := e.bucket.Amount()
+	tokens := e.bucket.Tokens(now)
+	if e.limit.kind == Level {
+		have.Capacity = min(have.Capacity, tokens)
+	}
+	return have, tokens
+}
+
+// Short reports whether the host's part of a limit is small for its demand, so
+// that it should ask for more.
+func (s *Sharer) Short(now time.Duration, limit string) bool {
+	e := s.entry(limit)
+	if e == nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.roll(now)
+	wanted := max(e.demand, e.asked, s.me.Load().base(e.limit))
+	have := e.bucket.Amount()
+	if e.limit.kind == Level {
+		return wanted > 0 && have.Capacity < wanted+wanted/4
+	}
+	// A part that can never admit a single request is of no use.
+	small := e.demand > 0 && have.Capacity < limiter.Unit
+	return wanted > 0 && have.Rate < wanted+wanted/4 || small
+}
--- /dev/null
+++ b/pkg/tracker/host.go
@@ -0,0 +1,55 @@
+// Package tracker keeps the list of live hosts from heartbeats, with the
+// platform's lagging list as a source of addresses only. It does no I/O.
+package tracker
+
+import (
+	"fmt"
+	"time"
+)
+
+// HostID names one run of one host's process. A replaced or restarted host is
+// another holder, also at the same address.
+type HostID struct {
+	Name        string
+	Incarnation uint64 // drawn at process start; never 0
+}
+
+// String returns name/incarnation.
+func (id HostID) String() string { return fmt.Sprintf("%s/%x", id.Name, id.Incarnation) }
+
+// State is what a host says of itself.
+type State int
+
+// A leaving host answers what reaches it but must not be named to callers. A
+// gone host said its last heartbeat.
+const (
+	Serving State = iota
+	Leaving
+	Gone
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	return [...]string{"serving", "leaving", "gone"}[s]
+}
+
+// Beat is one heartbeat, as its host sent it or as another relayed it.
+type Beat struct {
+	ID      HostID
+	Zone    string
+	Control string // host:port for other hosts
+	Data    string // host:port for callers
+	State   State
+	Counter uint64 // strictly higher in each later heartbeat of one incarnation
+}
+
+type entry struct {
+	beat  Beat
+	heard time.Duration // when the counter last rose
+}
+
+// Host is a live host as seen from here.
+type Host struct {
+	Beat
+	Silent time.Duration // time since the last news of it
+}
