server: read the roster by its own clock

Cause: the roster was read only when no store call at all had succeeded for a quarter of a lease. Polls of the host list kept that clock fresh, so hosts joined late and leases of members were never renewed: all parts lapsed to their floors after 3 s.

Conclusion: found by reading the time line of epochs, no other cause was involved.

--- a/internal/server/census.go
+++ b/internal/server/census.go
@@ -17,7 +17,10 @@
 // rosterKey is the store key of the object that says who holds parts of limits.
 const rosterKey = "shares/roster"
 
-const storeTimeout = 5 * time.Second
+const (
+	storeTimeout = 5 * time.Second
+	joinPeriod   = 250 * time.Millisecond // between two tries to become a member
+)
 
 // hostIDCodec is a host id in the store.
 type hostIDCodec struct {
@@ -120,6 +123,7 @@
 
 func (m *rosterSeen) apply(l *loop, now time.Duration) {
 	l.rosterJob = false
+	l.rosterNews = now
 	switch {
 	case m.err == nil:
 		l.storeAnswered(now, nil)
@@ -185,7 +189,7 @@
 	if l.hostState != "serving" && l.hostState != "leaving" {
 		return
 	}
-	if now-l.storeNews > shares.Lease()/4 {
+	if now-l.rosterNews > l.rosterPeriod(shares.Lease()) {
 		l.readRoster()
 	}
 	l.checkSilent(now)
@@ -212,6 +216,15 @@
 	l.writeRoster(next)
 }
 
+// rosterPeriod returns how old the last reading of the roster may get. A host
+// that is no member yet has nothing to serve from, so it looks often.
+func (l *loop) rosterPeriod(lease time.Duration) time.Duration {
+	if _, member := l.server.sharer.Roster().Member(l.server.id); !member {
+		return joinPeriod
+	}
+	return lease / 4
+}
+
 func (l *loop) finishCensus(now time.Duration) {
 	if l.census == nil || l.census.Issued() {
 		return
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -24,24 +24,25 @@
 	stopped chan struct{}
 	once    sync.Once
 
-	hostChart *charter.Chart
-	hostState charter.State
-	tracker   *tracker.Tracker
-	watcher   *watcher.Watcher
-	listed    []string                         // control addresses from the platform's list
-	busy      map[string]bool                  // control addresses that an exchange runs with
-	told      map[string]peerKnowledge         // what other hosts are known to have, by control address
-	seenLive  map[tracker.HostID]bool          // live hosts at the last tick
-	fetching  bool                             // configuration files are being fetched
-	storeUp   bool                             // the last call to the store succeeded
-	storeNews time.Duration                    // time of the last success
-	steward   *sharer.Steward                  // decides when a census is due
-	census    *sharer.Census                   // the one this host takes, or nil
-	rosterAt  int64                            // store version of the roster last seen
-	stored    sharer.Roster                    // the roster at that version
-	rosterJob bool                             // a roster write runs
-	probing   map[tracker.HostID]bool          // members whose end is being checked
-	silentFor map[tracker.HostID]time.Duration // since when members have been silent
+	hostChart  *charter.Chart
+	hostState  charter.State
+	tracker    *tracker.Tracker
+	watcher    *watcher.Watcher
+	listed     []string                         // control addresses from the platform's list
+	busy       map[string]bool                  // control addresses that an exchange runs with
+	told       map[string]peerKnowledge         // what other hosts are known to have, by control address
+	seenLive   map[tracker.HostID]bool          // live hosts at the last tick
+	fetching   bool                             // configuration files are being fetched
+	storeUp    bool                             // the last call to the store succeeded
+	storeNews  time.Duration                    // time of the last success
+	rosterNews time.Duration                    // time of the last reading or writing of the roster, also a failed one
+	steward    *sharer.Steward                  // decides when a census is due
+	census     *sharer.Census                   // the one this host takes, or nil
+	rosterAt   int64                            // store version of the roster last seen
+	stored     sharer.Roster                    // the roster at that version
+	rosterJob  bool                             // a roster write runs
+	probing    map[tracker.HostID]bool          // members whose end is being checked
+	silentFor  map[tracker.HostID]time.Duration // since when members have been silent
 }
 
 // peerKnowledge is what another host is known to have.
