sharer: prove shares under randomised failures

They are now one controller without I/O, stepped in a test by a small fake network with loss, doubling, delay, cuts, pauses, crashes, successors and store outages, and audited by one bucket for each whole limit.

Found by it, each failing first and passing after: - a lapsed lease's part never came back when no member had ended: forfeits now ask for a census; - an answer that got lost kept what it granted until the next census: asks without an answer are sent again, and only the answer to the latest settles; - proof that a member ended was lost on hosts that started later: it is relayed while the roster names the member; - a later run of a host was proof of the earlier one's end also on another machine, where the earlier one may only be paused: now only at the same address of the same boot. What a lost machine's floor strands comes back by an operator's word; - a host whose successor it hears of gives everything up and stops.

--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -37,7 +37,7 @@
 	for _, b := range beats {
 		wire = append(wire, &peerv1.Beat{
 			Id: EncodeID(b.ID), Zone: b.Zone, Control: b.Control, Data: b.Data,
-			State: int32(b.State), Counter: b.Counter,
+			State: int32(b.State), Counter: b.Counter, Boot: b.Boot,
 		})
 	}
 	return wire
@@ -54,7 +54,7 @@
 		}
 		beats = append(beats, tracker.Beat{
 			ID: DecodeID(b.GetId()), Zone: b.GetZone(), Control: b.GetControl(), Data: b.GetData(),
-			State: state, Counter: b.GetCounter(),
+			State: state, Counter: b.GetCounter(), Boot: b.GetBoot(),
 		})
 	}
 	return beats
@@ -78,7 +78,7 @@
 	wire := &peerv1.Roster{Epoch: r.Epoch, Taker: EncodeID(r.Taker)}
 	for _, m := range r.Members {
 		wire.Members = append(wire.Members, &peerv1.Member{
-			Id: EncodeID(m.ID), Zone: m.Zone, Control: m.Control, Joined: m.Joined,
+			Id: EncodeID(m.ID), Zone: m.Zone, Control: m.Control, Boot: m.Boot, Joined: m.Joined,
 			FleetFloorPpm: m.Floor.FleetPPM, HomeFloorPpm: m.Floor.HomePPM,
 		})
 	}
@@ -90,7 +90,7 @@
 	r := sharer.Roster{Epoch: wire.GetEpoch(), Taker: DecodeID(wire.GetTaker())}
 	for _, m := range wire.GetMembers() {
 		r.Members = append(r.Members, sharer.Member{
-			ID: DecodeID(m.GetId()), Zone: m.GetZone(), Control: m.GetControl(),
+			ID: DecodeID(m.GetId()), Zone: m.GetZone(), Control: m.GetControl(), Boot: m.GetBoot(),
 			Floor:  sharer.Floor{FleetPPM: m.GetFleetFloorPpm(), HomePPM: m.GetHomeFloorPpm()},
 			Joined: m.GetJoined(),
 		})
@@ -137,6 +137,7 @@
 	return &peerv1.Transfer{
 		From: EncodeID(t.From), To: EncodeID(t.To), Epoch: t.Epoch, Limit: t.Limit,
 		Total: EncodeAmount(t.Total), Given: EncodeAmount(t.Given), Tokens: t.Tokens,
+		Answers: t.Answers,
 	}
 }
 
@@ -145,7 +146,7 @@
 	return sharer.Transfer{
 		Message: sharer.Message{From: DecodeID(t.GetFrom()), To: DecodeID(t.GetTo()), Epoch: t.GetEpoch()},
 		Limit:   t.GetLimit(), Total: DecodeAmount(t.GetTotal()),
-		Given: DecodeAmount(t.GetGiven()), Tokens: t.GetTokens(),
+		Given: DecodeAmount(t.GetGiven()), Tokens: t.GetTokens(), Answers: t.GetAnswers(),
 	}
 }
 
@@ -154,7 +155,7 @@
 	return &peerv1.AskRequest{
 		From: EncodeID(a.From), To: EncodeID(a.To), Epoch: a.Epoch, Limit: a.Limit,
 		Total: EncodeAmount(a.Total), Have: EncodeAmount(a.Have),
-		Tokens: a.Tokens, Demand: a.Demand, Need: a.Need,
+		Tokens: a.Tokens, Demand: a.Demand, Need: a.Need, Id: a.ID,
 	}
 }
 
@@ -164,7 +165,7 @@
 	have := DecodeAmount(a.GetHave())
 	return sharer.Ask{
 		Message: sharer.Message{From: DecodeID(a.GetFrom()), To: DecodeID(a.GetTo()), Epoch: a.GetEpoch()},
-		Limit:   a.GetLimit(), Total: DecodeAmount(a.GetTotal()),
+		ID:      a.GetId(), Limit: a.GetLimit(), Total: DecodeAmount(a.GetTotal()),
 		Have:   limiter.Amount{Rate: max(0, have.Rate), Capacity: max(0, have.Capacity)},
 		Tokens: max(0, a.GetTokens()), Demand: max(0, a.GetDemand()), Need: max(0, a.GetNeed()),
 	}
--- a/internal/messenger/peerv1/peerv1connect/peer.connect.go
+++ b/internal/messenger/peerv1/peerv1connect/peer.connect.go
@@ -49,6 +49,8 @@
 	// OperatorServiceTimeLineProcedure is the fully-qualified name of the OperatorService's TimeLine
 	// RPC.
 	OperatorServiceTimeLineProcedure = "/peer.v1.OperatorService/TimeLine"
+	// OperatorServiceForgetProcedure is the fully-qualified name of the OperatorService's Forget RPC.
+	OperatorServiceForgetProcedure = "/peer.v1.OperatorService/Forget"
 )
 
 // PeerServiceClient is a client for the peer.v1.PeerService service.
@@ -211,6 +213,8 @@
 type OperatorServiceClient interface {
 	Status(context.Context, *connect.Request[peerv1.StatusRequest]) (*connect.Response[peerv1.StatusResponse], error)
 	TimeLine(context.Context, *connect.Request[peerv1.TimeLineRequest]) (*connect.Response[peerv1.TimeLineResponse], error)
+	// An operator's word that a host has ended for good.
+	Forget(context.Context, *connect.Request[peerv1.ForgetRequest]) (*connect.Response[peerv1.ForgetResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the peer.v1.OperatorService service. By default,
@@ -236,6 +240,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("TimeLine")),
 			connect.WithClientOptions(opts...),
 		),
+		forget: connect.NewClient[peerv1.ForgetRequest, peerv1.ForgetResponse](
+			httpClient,
+			baseURL+OperatorServiceForgetProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Forget")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -243,6 +253,7 @@
 type operatorServiceClient struct {
 	status   *connect.Client[peerv1.StatusRequest, peerv1.StatusResponse]
 	timeLine *connect.Client[peerv1.TimeLineRequest, peerv1.TimeLineResponse]
+	forget   *connect.Client[peerv1.ForgetRequest, peerv1.ForgetResponse]
 }
 
 // Status calls peer.v1.OperatorService.Status.
@@ -255,10 +266,17 @@
 	return c.timeLine.CallUnary(ctx, req)
 }
 
+// Forget calls peer.v1.OperatorService.Forget.
+func (c *operatorServiceClient) Forget(ctx context.Context, req *connect.Request[peerv1.ForgetRequest]) (*connect.Response[peerv1.ForgetResponse], error) {
+	return c.forget.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the peer.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	Status(context.Context, *connect.Request[peerv1.StatusRequest]) (*connect.Response[peerv1.StatusResponse], error)
 	TimeLine(context.Context, *connect.Request[peerv1.TimeLineRequest]) (*connect.Response[peerv1.TimeLineResponse], error)
+	// An operator's word that a host has ended for good.
+	Forget(context.Context, *connect.Request[peerv1.ForgetRequest]) (*connect.Response[peerv1.ForgetResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -280,12 +298,20 @@
 		connect.WithSchema(operatorServiceMethods.ByName("TimeLine")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceForgetHandler := connect.NewUnaryHandler(
+		OperatorServiceForgetProcedure,
+		svc.Forget,
+		connect.WithSchema(operatorServiceMethods.ByName("Forget")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceStatusProcedure:
 			operatorServiceStatusHandler.ServeHTTP(w, r)
 		case OperatorServiceTimeLineProcedure:
 			operatorServiceTimeLineHandler.ServeHTTP(w, r)
+		case OperatorServiceForgetProcedure:
+			operatorServiceForgetHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -302,3 +328,7 @@
 func (UnimplementedOperatorServiceHandler) TimeLine(context.Context, *connect.Request[peerv1.TimeLineRequest]) (*connect.Response[peerv1.TimeLineResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.OperatorService.TimeLine is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) Forget(context.Context, *connect.Request[peerv1.ForgetRequest]) (*connect.Response[peerv1.ForgetResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.OperatorService.Forget is not implemented"))
+}
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -20,6 +20,7 @@
 	KeyRefused      Kind = "key-refused"
 	BackendState    Kind = "backend-state"
 	EpochEntered    Kind = "epoch-entered"
+	CensusDue       Kind = "census-due"
 	CensusIssued    Kind = "census-issued"
 	MoveStep        Kind = "move-step"
 	StoreState      Kind = "store-state"
--- a/internal/server/borrower.go
+++ b/internal/server/borrower.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"magnoliahill.example/magnoliahill/internal/messenger"
+	"magnoliahill.example/magnoliahill/pkg/sharer"
 	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
 
@@ -131,10 +132,19 @@
 	if !ok {
 		return false
 	}
+	return b.send(peer.Control, ask)
+}
+
+func (b *borrower) send(address string, ask sharer.Ask) bool {
+	s := b.server
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	resp, err := s.messenger.Peer(peer.Control).Ask(ctx, connect.NewRequest(messenger.EncodeAsk(ask)))
-	if err != nil || resp.Msg.GetTransfer() == nil {
+	resp, err := s.messenger.Peer(address).Ask(ctx, connect.NewRequest(messenger.EncodeAsk(ask)))
+	if err != nil {
+		return false
+	}
+	if resp.Msg.GetTransfer() == nil {
+		s.sharer.Settled(ask)
 		return false
 	}
 	return s.sharer.Receive(s.clock.Now(), messenger.DecodeTransfer(resp.Msg.GetTransfer()))
@@ -149,6 +159,18 @@
 			b.start(limit.Name(), 0)
 		}
 	}
+	b.settle(now)
+}
+
+// settle sends the asks again whose answers got lost.
+func (b *borrower) settle(now time.Duration) {
+	s := b.server
+	roster := s.sharer.Roster()
+	for _, ask := range s.sharer.Unsettled(now, 2*askTimeout) {
+		if giver, member := roster.Member(ask.To); member {
+			go b.send(giver.Control, ask)
+		}
+	}
 }
 
 // kickPools lets waiting requests use headroom that came from other hosts.
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -148,6 +148,23 @@
 	}
 }
 
+// Forget takes in an operator's word that a host has ended for good.
+func (o *operatorService) Forget(_ context.Context, req *connect.Request[peerv1.ForgetRequest]) (*connect.Response[peerv1.ForgetResponse], error) {
+	m := &forgotten{base: base{done: make(chan struct{})}, id: messenger.DecodeID(req.Msg.GetId())}
+	if !o.server.loop.ask(m, m.done) {
+		return nil, connect.NewError(connect.CodeUnavailable, errStopped)
+	}
+	return connect.NewResponse(&peerv1.ForgetResponse{}), nil
+}
+
+// forgotten is an operator's word that a host has ended.
+type forgotten struct {
+	base
+	id tracker.HostID
+}
+
+func (m *forgotten) apply(l *loop, now time.Duration) { l.perform(l.shares.Forget(now, m.id)) }
+
 // TimeLine returns the host's events.
 func (o *operatorService) TimeLine(context.Context, *connect.Request[peerv1.TimeLineRequest]) (*connect.Response[peerv1.TimeLineResponse], error) {
 	events, total := o.server.recorder.TimeLine().Events()
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -8,7 +8,6 @@
 
 	"magnoliahill.example/magnoliahill/internal/messenger"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
-	"magnoliahill.example/magnoliahill/internal/recorder"
 	"magnoliahill.example/magnoliahill/internal/watcher"
 	"magnoliahill.example/magnoliahill/pkg/sharer"
 )
@@ -55,7 +54,7 @@
 	head := l.watcher.Head()
 	req := &peerv1.ExchangeRequest{
 		Stamp:      messenger.EncodeStamp(l.server.recorder.TimeLine().Clock().Now()),
-		Beats:      messenger.EncodeBeats(l.tracker.Beats(now)),
+		Beats:      messenger.EncodeBeats(l.shares.Beats(now)),
 		Generation: head.Generation,
 		Epoch:      roster.Epoch,
 	}
@@ -66,10 +65,9 @@
 	if told.epoch < roster.Epoch {
 		req.Roster = messenger.EncodeRoster(roster)
 	}
-	taker, ok := roster.Member(roster.Taker)
-	if ok && taker.Control == address && !l.server.sharer.Confirmed() {
+	if report, taker, due := l.shares.Report(); due && taker.Control == address {
 		req.To = messenger.EncodeID(taker.ID)
-		req.Report = messenger.EncodeReport(l.server.sharer.Report())
+		req.Report = messenger.EncodeReport(report)
 	}
 	return req
 }
@@ -107,7 +105,7 @@
 	l.server.recorder.TimeLine().Clock().Merge(messenger.DecodeStamp(stamp))
 	l.tracker.Heard(now, messenger.DecodeBeats(beats)...)
 	if roster != nil {
-		l.adoptRoster(now, messenger.DecodeRoster(roster))
+		l.perform(l.shares.Adopt(now, messenger.DecodeRoster(roster)))
 	}
 	if head != nil {
 		l.offerHead(messenger.DecodeHead(head))
@@ -119,28 +117,6 @@
 	l.advance()
 }
 
-func (l *loop) adoptRoster(now time.Duration, roster sharer.Roster) {
-	before := l.server.sharer.Roster().Epoch
-	l.server.sharer.Adopt(now, roster)
-	l.entered(now, before)
-}
-
-// entered starts what a new epoch brings with it.
-func (l *loop) entered(now time.Duration, before int64) {
-	roster := l.server.sharer.Roster()
-	if roster.Epoch == before {
-		return
-	}
-	l.event(recorder.EpochEntered, roster.Taker.String(), "epoch of "+plural(len(roster.Members), "member"))
-	l.steward.Entered(now, l.server.sharer.Limits(), l.server.sharer.Lost())
-	if l.census != nil && l.census.Roster().Epoch < roster.Epoch {
-		l.census = nil
-	}
-	for address := range l.told {
-		l.exchange(now, address)
-	}
-}
-
 // received is an exchange that another host began.
 type received struct {
 	base
@@ -156,7 +132,7 @@
 	m.resp = &peerv1.ExchangeResponse{
 		From:       messenger.EncodeID(l.server.id),
 		Stamp:      messenger.EncodeStamp(l.server.recorder.TimeLine().Clock().Now()),
-		Beats:      messenger.EncodeBeats(l.tracker.Beats(now)),
+		Beats:      messenger.EncodeBeats(l.shares.Beats(now)),
 		Generation: head.Generation,
 		Epoch:      roster.Epoch,
 	}
@@ -166,9 +142,9 @@
 	if req.GetEpoch() < roster.Epoch {
 		m.resp.Roster = messenger.EncodeRoster(roster)
 	}
-	if req.GetReport() != nil && l.census != nil && messenger.DecodeID(req.GetTo()) == l.server.id {
-		m.resp.VerdictEpoch = l.census.Roster().Epoch
-		m.resp.Verdict = int32(l.census.Add(messenger.DecodeReport(req.GetReport())))
+	if req.GetReport() != nil {
+		verdict, epoch := l.shares.Reported(messenger.DecodeReport(req.GetReport()))
+		m.resp.Verdict, m.resp.VerdictEpoch = int32(verdict), epoch
 	}
 }
 
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -24,25 +24,18 @@
 	stopped chan struct{}
 	once    sync.Once
 
-	hostChart  *charter.Chart
-	hostState  charter.State
-	tracker    *tracker.Tracker
-	watcher    *watcher.Watcher
-	listed     []string                         // control addresses from the platform's list
-	busy       map[string]bool                  // control addresses that an exchange runs with
-	told       map[string]peerKnowledge         // what other hosts are known to have, by control address
-	seenLive   map[tracker.HostID]bool          // live hosts at the last tick
-	fetching   bool                             // configuration files are being fetched
-	storeUp    bool                             // the last call to the store succeeded
-	storeNews  time.Duration                    // time of the last success
-	rosterNews time.Duration                    // time of the last reading or writing of the roster, also a failed one
-	steward    *sharer.Steward                  // decides when a census is due
-	census     *sharer.Census                   // the one this host takes, or nil
-	rosterAt   int64                            // store version of the roster last seen
-	stored     sharer.Roster                    // the roster at that version
-	rosterJob  bool                             // a roster write runs
-	probing    map[tracker.HostID]bool          // members whose end is being checked
-	silentFor  map[tracker.HostID]time.Duration // since when members have been silent
+	hostChart *charter.Chart
+	hostState charter.State
+	tracker   *tracker.Tracker
+	watcher   *watcher.Watcher
+	listed    []string                 // control addresses from the platform's list
+	busy      map[string]bool          // control addresses that an exchange runs with
+	told      map[string]peerKnowledge // what other hosts are known to have, by control address
+	seenLive  map[tracker.HostID]bool  // live hosts at the last tick
+	fetching  bool                     // configuration files are being fetched
+	storeUp   bool                     // the last call to the store succeeded
+	storeNews time.Duration            // time of the last success
+	shares    *sharer.Controller
 }
 
 // peerKnowledge is what another host is known to have.
@@ -77,25 +70,29 @@
 	settings := s.settings
 	self := tracker.Beat{
 		ID: s.id, Zone: settings.Host().Zone(),
-		Control: settings.Listen().Control(), Data: settings.Listen().Data(),
+		Control: settings.Listen().Control(), Data: settings.Listen().Data(), Boot: bootID(),
 		State: tracker.Leaving, // until it has a configuration
 	}
+	members := tracker.New(self, tracker.WithSilence(settings.Membership().Silence()))
+	shares := settings.Shares()
+	me := sharer.Member{
+		ID: s.id, Zone: self.Zone, Control: self.Control, Boot: self.Boot,
+		Floor: sharer.Floor{FleetPPM: shares.FleetFloorPPM(), HomePPM: shares.HomeFloorPPM()},
+	}
 	return &loop{
 		server:    s,
 		inbox:     make(chan message, inboxSize),
 		stopped:   make(chan struct{}),
 		hostChart: chart,
 		hostState: chart.Initial(),
-		tracker:   tracker.New(self, tracker.WithSilence(settings.Membership().Silence())),
+		tracker:   members,
+		shares:    sharer.NewController(s.sharer, members, me, shares.Drift(), settings.Membership().Silence()),
 		watcher:   watcher.New(),
 		listed:    settings.Membership().Peers(),
 		busy:      map[string]bool{},
 		told:      map[string]peerKnowledge{},
 		seenLive:  map[tracker.HostID]bool{},
 		storeUp:   true,
-		steward:   sharer.NewSteward(s.id, settings.Shares().Lease(), settings.Shares().Drift()),
-		probing:   map[tracker.HostID]bool{},
-		silentFor: map[tracker.HostID]time.Duration{},
 	}, nil
 }
 
@@ -145,10 +142,9 @@
 }
 
 func (l *loop) tick(now time.Duration) {
-	l.server.sharer.Tick(now)
 	l.watchLive(now)
 	l.exchangeAll(now)
-	l.tickCensus(now)
+	l.tickShares(now)
 	l.server.kickPools()
 }
 
--- a/pkg/sharer/entry.go
+++ b/pkg/sharer/entry.go
@@ -100,17 +100,19 @@
 	}
 }
 
-// cut lowers the part to at most an amount.
-func (e *entry) cut(now time.Duration, most limiter.Amount) {
+// cut lowers the part to at most an amount, and reports whether that took
+// anything.
+func (e *entry) cut(now time.Duration, most limiter.Amount) bool {
 	have := e.bucket.Amount()
 	excess := have.Sub(have.Min(most))
 	if excess.IsZero() {
-		return
+		return false
 	}
 	e.bucket.Withdraw(now, excess, excess.Capacity)
 	if e.limit.kind == Level {
 		e.bucket.Limit(now, max(0, e.bucket.Amount().Capacity-e.inUse))
 	}
+	return true
 }
 
 // share returns the part that fits an ask: what makes the two parts
--- a/pkg/sharer/limit.go
+++ b/pkg/sharer/limit.go
@@ -65,6 +65,7 @@
 // Ask requests a part of a limit.
 type Ask struct {
 	Message
+	ID     uint64 // higher for each later ask of one host
 	Limit  string
 	Total  limiter.Amount // as the asker knows it; another value has no effect
 	Have   limiter.Amount
@@ -78,10 +79,11 @@
 // lost, doubled or late.
 type Transfer struct {
 	Message
-	Limit  string
-	Total  limiter.Amount
-	Given  limiter.Amount // sum over the epoch
-	Tokens int64          // sum over the epoch
+	Answers uint64 // id of the ask, or 0 for a hand-over
+	Limit   string
+	Total   limiter.Amount
+	Given   limiter.Amount // sum over the epoch
+	Tokens  int64          // sum over the epoch
 }
 
 // Report states what a host held when it entered an epoch.
--- a/pkg/sharer/roster.go
+++ b/pkg/sharer/roster.go
@@ -14,6 +14,7 @@
 	ID      tracker.HostID
 	Zone    string
 	Control string // host:port
+	Boot    string // of its machine; see tracker.Beat
 	Floor   Floor  // fixed while it is a member
 	Joined  int64  // epoch in which it was added
 }
--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -16,12 +16,13 @@
 // Sharer holds one host's parts of all limits. Take, Release and Borrow may be
 // called by many goroutines; requests for different limits share no lock.
 type Sharer struct {
-	self    tracker.HostID
-	lease   time.Duration
-	entries atomic.Pointer[map[string]*entry]
-	lapses  atomic.Int64           // monotonic time at which all but the floors lapses
-	ticked  atomic.Int64           // monotonic time at which the host's control loop last ran
-	me      atomic.Pointer[Member] // the host's own entry in the roster; zero when it is no member
+	self     tracker.HostID
+	lease    time.Duration
+	entries  atomic.Pointer[map[string]*entry]
+	lapses   atomic.Int64           // monotonic time at which all but the floors lapses
+	ticked   atomic.Int64           // monotonic time at which the host's control loop last ran
+	forfeits atomic.Int64           // cuts by a lapsed lease that took anything
+	me       atomic.Pointer[Member] // the host's own entry in the roster; zero when it is no member
 
 	mu         sync.Mutex // guards what follows
 	roster     Roster
@@ -29,7 +30,10 @@
 	snapshot   Report // of the present epoch
 	confirmed  bool   // the epoch's census knows what is held; before, nothing moves and the lease is not renewed
 	contacts   map[tracker.HostID]time.Duration
-	lost       int64 // messages that had no effect because of their epoch or total
+	debts      map[debt]request // asks of the present epoch without an answer
+	asked      uint64           // id of the last ask
+	retired    bool             // holds nothing any more, for good
+	lost       int64            // messages that had no effect because of their epoch or total
 }
 
 // Option sets one property of a sharer.
@@ -42,7 +46,7 @@
 
 // New returns a sharer that holds nothing.
 func New(self tracker.HostID, options ...Option) *Sharer {
-	s := &Sharer{self: self, lease: DefaultLease, contacts: map[tracker.HostID]time.Duration{}}
+	s := &Sharer{self: self, lease: DefaultLease, contacts: map[tracker.HostID]time.Duration{}, debts: map[debt]request{}}
 	for _, option := range options {
 		option(s)
 	}
@@ -64,12 +68,13 @@
 	return s.roster
 }
 
-// Lost returns how many messages had no effect because their epoch or total was
-// another. What they carried comes back by the next census.
+// Lost returns how often something was lost that the next census brings back:
+// messages that had no effect because their epoch or total was another, and
+// parts that a lapsed lease took.
 func (s *Sharer) Lost() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lost
+	return s.lost + s.forfeits.Load()
 }
 
 func (s *Sharer) entry(name string) *entry { return (*s.entries.Load())[name] }
@@ -159,13 +164,21 @@
 // notices before it admits anything.
 func (s *Sharer) checkLease(now time.Duration, e *entry) {
 	if s.paused(now) {
-		e.cut(now, limiter.Amount{})
+		s.forfeit(now, e, limiter.Amount{})
 		return
 	}
 	if int64(now) < s.lapses.Load() {
 		return
 	}
-	e.cut(now, s.floorOf(e))
+	s.forfeit(now, e, s.floorOf(e))
+}
+
+// forfeit cuts an entry, and counts it when that took anything: only a census
+// brings it back.
+func (s *Sharer) forfeit(now time.Duration, e *entry, most limiter.Amount) {
+	if e.cut(now, most) {
+		s.forfeits.Add(1)
+	}
 }
 
 func (s *Sharer) floorOf(e *entry) limiter.Amount { return s.me.Load().floorOf(e.limit) }
@@ -179,6 +192,17 @@
 	s.ticked.Store(int64(now))
 }
 
+// Retire gives everything up for good.
+func (s *Sharer) Retire(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retired = true
+	s.confirmed = false
+	s.lapses.Store(0)
+	s.me.Store(&Member{})
+	s.dropAll(now)
+}
+
 func (s *Sharer) paused(now time.Duration) bool {
 	return int64(now)-s.ticked.Load() >= int64(s.lease)
 }
@@ -186,7 +210,7 @@
 func (s *Sharer) dropAll(now time.Duration) {
 	for _, e := range *s.entries.Load() {
 		e.mu.Lock()
-		e.cut(now, limiter.Amount{})
+		s.forfeit(now, e, limiter.Amount{})
 		e.mu.Unlock()
 	}
 }
@@ -232,7 +256,7 @@
 }
 
 func (s *Sharer) adopt(now time.Duration, roster Roster) {
-	if roster.Epoch < s.roster.Epoch {
+	if s.retired || roster.Epoch < s.roster.Epoch {
 		return
 	}
 	higher := roster.Epoch > s.roster.Epoch
@@ -264,6 +288,7 @@
 // and what is held is stated once. A host that is no member holds nothing.
 func (s *Sharer) enter(now time.Duration, member bool) {
 	s.contacts = map[tracker.HostID]time.Duration{}
+	s.debts = map[debt]request{}
 	s.confirmed = s.roster.Taker == s.self
 	report := Report{
 		Message:    Message{From: s.self, To: s.roster.Taker, Epoch: s.roster.Epoch},
@@ -304,7 +329,7 @@
 func (s *Sharer) cutAll(now time.Duration) {
 	for _, e := range *s.entries.Load() {
 		e.mu.Lock()
-		e.cut(now, s.floorOf(e))
+		s.forfeit(now, e, s.floorOf(e))
 		e.mu.Unlock()
 	}
 }
--- a/pkg/sharer/transfer.go
+++ b/pkg/sharer/transfer.go
@@ -1,26 +1,89 @@
 package sharer
 
 import (
+	"sort"
 	"time"
 
 	"magnoliahill.example/magnoliahill/pkg/limiter"
 	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
 
+// debt names whom a limit was asked of.
+type debt struct {
+	to    tracker.HostID
+	limit string
+}
+
+// request is the latest ask without an answer. It may have been granted.
+type request struct {
+	id   uint64
+	sent time.Duration
+}
+
+// Unsettled returns the asks without an answer for longer than an age, made
+// anew. Sent again, they bring what the lost answers granted.
+func (s *Sharer) Unsettled(now, age time.Duration) []Ask {
+	s.mu.Lock()
+	var old []debt
+	for d, r := range s.debts {
+		if now-r.sent > age {
+			old = append(old, d)
+		}
+	}
+	s.mu.Unlock()
+	sort.Slice(old, func(i, j int) bool {
+		if old[i].to != old[j].to {
+			return old[i].to.String() < old[j].to.String()
+		}
+		return old[i].limit < old[j].limit
+	})
+	var asks []Ask
+	for _, d := range old {
+		if ask, ok := s.Ask(now, d.to, d.limit, 0); ok {
+			asks = append(asks, ask)
+		}
+	}
+	return asks
+}
+
+// Settled takes in that an ask was answered without granting anything.
+func (s *Sharer) Settled(ask Ask) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(ask.To, ask.Limit, ask.ID)
+}
+
+// settle forgets an ask unless a later one is still without an answer.
+func (s *Sharer) settle(to tracker.HostID, limit string, id uint64) {
+	d := debt{to: to, limit: limit}
+	if s.debts[d].id <= id {
+		delete(s.debts, d)
+	}
+}
+
 // Ask returns the request for a part of a limit, with the units missing for the
 // request at hand.
 func (s *Sharer) Ask(now time.Duration, to tracker.HostID, limit string, need int64) (Ask, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	e := s.entry(limit)
-	if e == nil || !s.Confirmed() || int64(now) >= s.lapses.Load() {
+	if e == nil || !s.confirmed || int64(now) >= s.lapses.Load() {
+		return Ask{}, false
+	}
+	if _, member := s.roster.Member(to); !member {
 		return Ask{}, false
 	}
-	epoch := s.Roster().Epoch
+	epoch := s.roster.Epoch
+	s.asked++
+	id := s.asked
+	s.debts[debt{to: to, limit: limit}] = request{id: id, sent: now}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s.checkLease(now, e)
 	e.roll(now)
 	return Ask{
 		Message: Message{From: s.self, To: to, Epoch: epoch},
+		ID:      id,
 		Limit:   limit,
 		Total:   e.limit.total,
 		Have:    e.bucket.Amount(),
@@ -54,6 +117,7 @@
 	total := e.give(now, ask.From, part, tokens)
 	return Transfer{
 		Message: Message{From: s.self, To: ask.From, Epoch: s.roster.Epoch},
+		Answers: ask.ID,
 		Limit:   ask.Limit,
 		Total:   e.limit.total,
 		Given:   total.amount,
@@ -70,6 +134,7 @@
 func (s *Sharer) Receive(now time.Duration, t Transfer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.settle(t.From, t.Limit, t.Answers)
 	e := s.entry(t.Limit)
 	if e == nil || !s.valid(t.Message) {
 		s.lost++
--- a/pkg/tracker/host.go
+++ b/pkg/tracker/host.go
@@ -39,6 +39,7 @@
 	Zone    string
 	Control string // host:port for other hosts
 	Data    string // host:port for callers
+	Boot    string // names one boot of the machine; "" when not known
 	State   State
 	Counter uint64 // strictly higher in each later heartbeat of one incarnation
 }
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -13,7 +13,8 @@
 	self    Beat
 	silence time.Duration // a host not heard of for this long is not live
 	entries map[string]*entry
-	dead    map[HostID]bool // incarnations that certainly do not run any more
+	dead    map[HostID]bool // incarnations that certainly hold nothing any more
+	outrun  bool            // a later incarnation of the own host was heard of
 }
 
 // Option sets one property of a tracker.
@@ -51,13 +52,21 @@
 // replaced incarnations are ignored.
 func (t *Tracker) Heard(now time.Duration, beats ...Beat) {
 	for _, beat := range beats {
-		if beat.ID.Name == t.self.ID.Name || t.dead[beat.ID] {
-			continue
+		switch {
+		case beat.ID.Name == t.self.ID.Name:
+			t.outrun = t.outrun || beat.ID.Incarnation > t.self.ID.Incarnation
+		case beat.State == Gone:
+			t.Dead(beat.ID)
+		case !t.dead[beat.ID]:
+			t.hear(now, beat)
 		}
-		t.hear(now, beat)
 	}
 }
 
+// Superseded reports whether a later run of the own host exists. The own
+// process must then give everything up.
+func (t *Tracker) Superseded() bool { return t.outrun }
+
 func (t *Tracker) hear(now time.Duration, beat Beat) {
 	known := t.entries[beat.ID.Name]
 	if known == nil || beat.ID.Incarnation > known.beat.ID.Incarnation {
@@ -71,7 +80,7 @@
 	known.heard = now
 }
 
-// Dead records proof that an incarnation does not run any more.
+// Dead records proof that an incarnation has ended or given everything up.
 func (t *Tracker) Dead(id HostID) {
 	t.dead[id] = true
 	if known := t.entries[id.Name]; known != nil && known.beat.ID == id {
@@ -94,11 +103,11 @@
 }
 
 // Live returns the hosts with recent news, the own one included, by name.
-// Leaving hosts are in it; gone ones are not.
+// Leaving hosts are in it.
 func (t *Tracker) Live(now time.Duration) []Host {
 	live := []Host{{Beat: t.self}}
 	for _, host := range t.Known(now) {
-		if host.Silent < t.silence && host.State != Gone {
+		if host.Silent < t.silence {
 			live = append(live, host)
 		}
 	}
@@ -116,3 +125,23 @@
 	}
 	return beats
 }
+
+// Find returns the latest heartbeat of an incarnation, unless a later one of the
+// same host is known.
+func (t *Tracker) Find(now time.Duration, id HostID) (Host, bool) {
+	known := t.entries[id.Name]
+	if known == nil || known.beat.ID != id {
+		return Host{}, false
+	}
+	return Host{Beat: known.beat, Silent: now - known.heard}, true
+}
+
+// Replaced reports whether a later run of a host listens at the same address of
+// the same boot of the same machine. The kernel lets nobody listen there before
+// the earlier process has ended. On another machine, or after another boot, the
+// earlier one may still run, paused or cut off.
+func (t *Tracker) Replaced(id HostID, control, boot string) bool {
+	known := t.entries[id.Name]
+	return known != nil && known.beat.ID.Incarnation > id.Incarnation &&
+		boot != "" && known.beat.Boot == boot && known.beat.Control == control
+}
--- /dev/null
+++ b/pkg/tracker/tracker_test.go
@@ -0,0 +1,74 @@
+package tracker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"magnoliahill.example/magnoliahill/pkg/tracker"
+)
+
+const second = time.Second
+
+func beat(name string, incarnation, counter uint64, boot string) tracker.Beat {
+	return tracker.Beat{
+		ID:      tracker.HostID{Name: name, Incarnation: incarnation},
+		Control: name + ":1", Boot: boot, Counter: counter,
+	}
+}
+
+func TestHostsAreLiveByTheirHeartbeats(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New(beat("a", 1, 0, "x"), tracker.WithSilence(2*second))
+	tr.Heard(second, beat("b", 1, 5, "x"))
+	is.Equal(len(tr.Live(2*second)), 2)
+	tr.Heard(4*second, beat("b", 1, 5, "x")) // an old heartbeat that comes again is no news
+	is.Equal(len(tr.Live(4*second)), 1)
+	tr.Heard(5*second, beat("b", 1, 6, "x"))
+	is.Equal(len(tr.Live(5*second)), 2)
+	gone := beat("b", 1, 7, "x")
+	gone.State = tracker.Gone
+	tr.Heard(5*second, gone)
+	tr.Heard(5*second, beat("b", 1, 8, "x")) // relayed late
+	is.Equal(len(tr.Live(5*second)), 1)
+	is.True(tr.IsDead(gone.ID))
+}
+
+func TestLaterRunReplacesEarlierOne(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New(beat("a", 5, 0, "x"))
+	old := beat("b", 1, 9, "x")
+	tr.Heard(second, old)
+	tr.Heard(second, beat("b", 2, 1, "x"))
+	tr.Heard(second, beat("b", 1, 10, "x"))
+	_, found := tr.Find(second, old.ID)
+	is.True(!found)
+	is.True(tr.Replaced(old.ID, "b:1", "x"))
+	is.True(!tr.Replaced(old.ID, "b:1", "y")) // another boot: the old machine may only be paused
+	is.True(!tr.Replaced(old.ID, "b:2", "x")) // another address: both may run
+	is.True(!tr.Superseded())
+	tr.Heard(second, beat("a", 6, 1, "x"))
+	is.True(tr.Superseded())
+}
+
+func TestRankChangesOnlyWhereItMust(t *testing.T) {
+	is := is.New(t)
+	var hosts []tracker.Host
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		hosts = append(hosts, tracker.Host{Beat: beat(name, 1, 1, "x")})
+	}
+	for _, duty := range []string{"watch", "census", "probe"} {
+		before := tracker.Rank(duty, hosts)
+		after := tracker.Rank(duty, hosts[:4])
+		var kept []string
+		for _, host := range before {
+			if host.ID.Name != "e" {
+				kept = append(kept, host.ID.Name)
+			}
+		}
+		for i, host := range after {
+			is.Equal(host.ID.Name, kept[i])
+		}
+	}
+}
