sharer: let a host go on using the units of a level that a census counted

Cause: a host reports the larger of what it holds and what is in use, but kept only the smaller: the difference came back with the next census at the earliest.

Conclusion: a part may only change between entering and being counted by becoming smaller.

--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -309,6 +309,9 @@
 		}
 	}
 	s.snapshot = report
+	if s.confirmed {
+		s.matchReport(now)
+	}
 }
 
 // renew moves the lease on from the time a proof of contact was sent. What
@@ -348,10 +351,28 @@
 	if epoch != s.roster.Epoch || s.confirmed || verdict == NotCounted {
 		return
 	}
+	s.confirmed = true
 	if verdict == CountedByFloor {
 		s.cutAll(now)
+		return
+	}
+	s.matchReport(now)
+}
+
+// matchReport raises parts to what the census counted. A level of which more
+// was in use than held is counted as used, so the host may go on using as much.
+func (s *Sharer) matchReport(now time.Duration) {
+	if int64(now) >= s.lapses.Load() || s.snapshot.Generation != s.generation {
+		return
+	}
+	for name, e := range *s.entries.Load() {
+		e.mu.Lock()
+		counted := s.snapshot.Holdings[name]
+		if missing := counted.Capacity - e.bucket.Amount().Capacity; missing > 0 {
+			e.bucket.Deposit(now, limiter.Amount{Capacity: missing}, 0)
+		}
+		e.mu.Unlock()
 	}
-	s.confirmed = true
 }
 
 // Confirmed reports whether the census of the present epoch knows what the host
