sharer: count joiners as empty and ask for a census after a floor verdict

Cause: three ways in which parts stayed stranded after the last failure. A member that joined in the epoch itself does not report and was waited for and counted by its floor. A host counted by its floor holds less than that floor and nobody asked for the rest.

Ruled out: raising a host to the floor that the census reserved.

Conclusion: a verdict by floor asks for one more census; that costs one store write after each healed partition.

--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -89,7 +89,10 @@
 	resp := m.resp
 	l.take(now, resp.GetStamp(), resp.GetBeats(), resp.GetHead(), resp.GetRoster())
 	l.told[m.address] = peerKnowledge{generation: resp.GetGeneration(), epoch: resp.GetEpoch()}
-	l.server.sharer.Confirm(now, resp.GetVerdictEpoch(), sharer.Verdict(resp.GetVerdict()))
+	l.server.sharer.Confirm(now, sharer.Verdict{
+		Epoch: resp.GetVerdictEpoch(),
+		Way:   sharer.Way(resp.GetVerdict()),
+	})
 	l.server.sharer.Heard(now, m.sent, messenger.DecodeID(resp.GetFrom()), resp.GetEpoch())
 	if resp.GetGeneration() >= l.watcher.Head().Generation {
 		l.server.configNews.Store(int64(now))
@@ -143,8 +146,9 @@
 		m.resp.Roster = messenger.EncodeRoster(roster)
 	}
 	if req.GetReport() != nil {
-		verdict, epoch := l.shares.Reported(messenger.DecodeReport(req.GetReport()))
-		m.resp.Verdict, m.resp.VerdictEpoch = int32(verdict), epoch
+		verdict := l.shares.Reported(messenger.DecodeReport(req.GetReport()))
+		m.resp.Verdict = int32(verdict.Way)
+		m.resp.VerdictEpoch = verdict.Epoch
 	}
 }
 
--- a/pkg/sharer/controller.go
+++ b/pkg/sharer/controller.go
@@ -256,11 +256,11 @@
 }
 
 // Reported takes in another host's report and returns how it was counted.
-func (c *Controller) Reported(report Report) (Verdict, int64) {
+func (c *Controller) Reported(report Report) Verdict {
 	if c.census == nil || report.To != c.self.ID {
-		return NotCounted, 0
+		return Verdict{}
 	}
-	return c.census.Add(report), c.census.Roster().Epoch
+	return c.census.Add(report)
 }
 
 // finish issues what the running census leaves, once all members are counted.
--- a/pkg/sharer/entry.go
+++ b/pkg/sharer/entry.go
@@ -115,6 +115,25 @@
 	return true
 }
 
+// raise lifts the part to at least an amount. No tokens come with it, but for
+// units of a level that are not in use.
+func (e *entry) raise(now time.Duration, least limiter.Amount) {
+	have := e.bucket.Amount()
+	missing := limiter.Amount{
+		Rate:     max(0, least.Rate-have.Rate),
+		Capacity: max(0, least.Capacity-have.Capacity),
+	}
+	if missing.IsZero() {
+		return
+	}
+	tokens := int64(0)
+	if e.limit.kind == Level {
+		free := have.Capacity + missing.Capacity - e.inUse
+		tokens = max(0, free-e.bucket.Tokens(now))
+	}
+	e.bucket.Deposit(now, missing, tokens)
+}
+
 // share returns the part that fits an ask: what makes the two parts
 // proportional to the two demands, and at least what the request at hand needs.
 func (e *entry) share(now time.Duration, ask Ask, theirBase, myBase int64) (limiter.Amount, int64) {
--- a/pkg/sharer/roster.go
+++ b/pkg/sharer/roster.go
@@ -129,8 +129,16 @@
 // the lease is the longest that a member acts without contact; the drift covers
 // the difference between clocks over one lease.
 func NewCensus(roster Roster, generation int64, started, lease, drift time.Duration) *Census {
+	counted := roster
+	counted.Members = nil
+	for _, m := range roster.Members {
+		// Who joined in the epoch itself held nothing at its start.
+		if m.Joined < roster.Epoch {
+			counted.Members = append(counted.Members, m)
+		}
+	}
 	return &Census{
-		roster:     roster,
+		roster:     counted,
 		generation: generation,
 		lapsed:     started + lease + drift,
 		reports:    map[tracker.HostID]Report{},
@@ -141,19 +149,29 @@
 // Roster returns the roster the census is made of.
 func (c *Census) Roster() Roster { return c.roster }
 
-// Verdict tells a member how the census counted it.
-type Verdict int
+// Verdict tells a member how the census of an epoch counted it.
+type Verdict struct {
+	Epoch int64
+	Way   Way
+}
+
+// Way is how a census counted a member.
+type Way int
 
 // A member that is not counted yet reports again. One counted by its floor
 // cuts its parts to the floor before it goes on.
 const (
-	NotCounted Verdict = iota
+	NotCounted Way = iota
 	Counted
 	CountedByFloor
 )
 
 // Add takes in a report, in any order and any number of times.
 func (c *Census) Add(report Report) Verdict {
+	return Verdict{Epoch: c.roster.Epoch, Way: c.count(report)}
+}
+
+func (c *Census) count(report Report) Way {
 	if report.Epoch != c.roster.Epoch {
 		return NotCounted
 	}
--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -345,15 +345,17 @@
 }
 
 // Confirm takes in how the census of the present epoch counted the host.
-func (s *Sharer) Confirm(now time.Duration, epoch int64, verdict Verdict) {
+func (s *Sharer) Confirm(now time.Duration, verdict Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if epoch != s.roster.Epoch || s.confirmed || verdict == NotCounted {
+	if verdict.Epoch != s.roster.Epoch || s.confirmed || verdict.Way == NotCounted {
 		return
 	}
 	s.confirmed = true
-	if verdict == CountedByFloor {
+	if verdict.Way == CountedByFloor {
 		s.cutAll(now)
+		// The floor was reserved in full, but less may be held.
+		s.forfeits.Add(1)
 		return
 	}
 	s.matchReport(now)
@@ -367,10 +369,7 @@
 	}
 	for name, e := range *s.entries.Load() {
 		e.mu.Lock()
-		counted := s.snapshot.Holdings[name]
-		if missing := counted.Capacity - e.bucket.Amount().Capacity; missing > 0 {
-			e.bucket.Deposit(now, limiter.Amount{Capacity: missing}, 0)
-		}
+		e.raise(now, s.snapshot.Holdings[name])
 		e.mu.Unlock()
 	}
 }
--- a/pkg/sharer/transfer.go
+++ b/pkg/sharer/transfer.go
@@ -1,6 +1,8 @@
 package sharer
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -165,7 +167,9 @@
 		return nil
 	}
 	var transfers []Transfer
-	for name, e := range *s.entries.Load() {
+	entries := *s.entries.Load()
+	for _, name := range slices.Sorted(maps.Keys(entries)) {
+		e := entries[name]
 		e.mu.Lock()
 		s.checkLease(now, e)
 		part, tokens := e.all(now)
