--- a/internal/demonstrator/table.go
+++ b/internal/demonstrator/table.go
@@ -6,22 +6,25 @@
 	"sort"
 	"text/tabwriter"
 	"time"
+
+	"magnoliahill.example/magnoliahill/pkg/limiter"
 )
 
 // Row is what one scene measured. The five measures of the brief are latency,
 // headroom (as requests refused for want of it), drain time, the worst-served
 // workspace, and requests refused inside their workspace's rate.
 type Row struct {
-	Scene         string
-	Sent          int
-	Answered      int
-	P50, P99      time.Duration
-	WorstName     string
-	WorstServed   float64 // answered of what the rate allows, for the worst workspace
-	WrongRefusals int     // over-rate refusals of workspaces inside their rate
-	NoRoom        int     // refused, not run, for any other reason
-	Unknown       int
-	Failed        int // neither answered nor refused
+	Scene       string
+	Sent        int
+	Answered    int
+	P50, P99    time.Duration
+	WorstName   string
+	WorstServed float64 // answered of what the rate allows, for the worst workspace
+	OverRate    int     // over-rate refusals, but of the workspace that sends too much
+	Unavoidable int     // those that one bucket for the whole fleet would refuse too
+	NoRoom      int     // refused, not run, for any other reason
+	Unknown     int
+	Failed      int // neither answered nor refused
 }
 
 func (d *demo) row(scene int, name string) Row {
@@ -59,7 +62,8 @@
 		if w.name == boosted || sent[w.name] == 0 {
 			continue
 		}
-		r.WrongRefusals += refused[w.name]
+		r.OverRate += refused[w.name]
+		r.Unavoidable += d.unavoidable(w, scene)
 		served := float64(answered[w.name]) / float64(sent[w.name])
 		if served < r.WorstServed {
 			r.WorstServed, r.WorstName = served, w.name
@@ -68,6 +72,27 @@
 	return r
 }
 
+// unavoidable returns how many requests of a workspace a single bucket for the
+// whole fleet would refuse in a scene.
+func (d *demo) unavoidable(w workspaceLayout, scene int) int {
+	var arrivals []outcome
+	for _, o := range d.traffic.outcomes {
+		if o.workspace == w.name {
+			arrivals = append(arrivals, o)
+		}
+	}
+	sort.Slice(arrivals, func(i, j int) bool { return arrivals[i].began.Before(arrivals[j].began) })
+	whole := limiter.Amount{Rate: int64(w.rate) * limiter.Unit, Capacity: int64(w.burst) * limiter.Unit}
+	bucket := limiter.NewBucket(whole, whole.Capacity, 0)
+	refused := 0
+	for _, o := range arrivals {
+		if !bucket.Take(o.began.Sub(arrivals[0].began), limiter.Unit) && o.scene == scene {
+			refused++
+		}
+	}
+	return refused
+}
+
 func quantile(values []time.Duration, q float64) time.Duration {
 	if len(values) == 0 {
 		return 0
@@ -79,11 +104,11 @@
 // WriteText writes the result as a table.
 func (r *Result) WriteText(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "situation\tsent\tanswered\tp50 ms\tp99 ms\tworst served\trefused inside rate\tno room\tunknown\tfailed")
+	_, _ = fmt.Fprintln(t, "situation\tsent\tanswered\tp50 ms\tp99 ms\tworst served\tover rate\tof them unavoidable\tno room\tunknown\tfailed")
 	for _, row := range r.Rows {
-		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%.1f\t%.1f\t%.3f %s\t%d\t%d\t%d\t%d\n",
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%.1f\t%.1f\t%.3f %s\t%d\t%d\t%d\t%d\t%d\n",
 			row.Scene, row.Sent, row.Answered, ms(row.P50), ms(row.P99),
-			row.WorstServed, row.WorstName, row.WrongRefusals, row.NoRoom, row.Unknown, row.Failed)
+			row.WorstServed, row.WorstName, row.OverRate, row.Unavoidable, row.NoRoom, row.Unknown, row.Failed)
 	}
 	if err := t.Flush(); err != nil {
 		return err
--- a/internal/demonstrator/traffic.go
+++ b/internal/demonstrator/traffic.go
@@ -27,6 +27,7 @@
 type outcome struct {
 	workspace string
 	scene     int
+	began     time.Time
 	took      time.Duration
 	answered  bool
 	overRate  bool
@@ -118,7 +119,7 @@
 	scene := int(t.scene.Load())
 	began := time.Now()
 	answer, err := c.Do(ctx, r)
-	o := outcome{workspace: w.name, scene: scene, took: time.Since(began)}
+	o := outcome{workspace: w.name, scene: scene, began: began, took: time.Since(began)}
 	switch {
 	case errors.Is(err, caller.ErrUnknown):
 		o.unknown = true
--- a/internal/server/borrower.go
+++ b/internal/server/borrower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
@@ -13,133 +12,114 @@
 	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
 
-const (
-	borrowPeers = 3                     // hosts asked for one shortage
-	dryPause    = 25 * time.Millisecond // after nothing was to be had, nobody is asked for this long
-	askTimeout  = 300 * time.Millisecond
-)
+const askTimeout = 300 * time.Millisecond
 
-// borrower gets parts of limits from other hosts: at once for a request that is
-// short of one, and ahead of need in the background.
+// borrower sends the asks that the borrowing policy wants sent.
 type borrower struct {
 	server *Server
 	mu     sync.Mutex
-	limits map[string]*borrowing
-	peers  []tracker.Host // live and serving, nearest first; set by the control loop
-}
-
-// borrowing is the state for one limit. Only one ask for it runs at a time.
-type borrowing struct {
-	running chan struct{} // closed when the running ask ends; nil when none runs
-	dry     time.Duration // nothing is asked before this
-	giver   string        // host that gave last
-	turn    int           // rotates the hosts asked
+	policy *sharer.Borrower
+	ends   map[*sharer.Round]chan struct{} // closed when the round is over
+	peers  []tracker.Host                  // live hosts but this one, nearest first
 }
 
 func newBorrower(s *Server) *borrower {
-	return &borrower{server: s, limits: map[string]*borrowing{}}
+	return &borrower{
+		server: s, policy: sharer.NewBorrower(s.sharer),
+		ends: map[*sharer.Round]chan struct{}{},
+	}
 }
 
 func (b *borrower) setPeers(peers []tracker.Host) {
+	ids := make([]tracker.HostID, 0, len(peers))
+	for _, peer := range peers {
+		ids = append(ids, peer.ID)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers = peers
+	b.policy.SetPeers(ids)
 }
 
-// borrow tries to get one unit for a request, and reports whether it is worth
-// trying the own part again.
-func (b *borrower) borrow(ctx context.Context, limit string) bool {
+func (b *borrower) current() []tracker.Host {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.peers
+}
+
+// borrow gets units of a limit until a request can take one, or nothing more is
+// to be had in time. It reports whether the request took one.
+func (b *borrower) borrow(ctx context.Context, limit string, take func() bool) bool {
 	wait := b.server.settings.Shares().Borrow()
 	if wait == 0 {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	done := b.start(limit, 1)
-	if done == nil {
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
+	for {
+		done := b.start(limit, 1)
+		if done == nil {
+			return false
+		}
+		select {
+		case <-done:
+			if take() {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
 	}
 }
 
-// start makes sure that an ask for a limit runs, and returns its end, or nil
-// when nothing was to be had a moment ago.
+// start makes sure that a round of asks for a limit runs, and returns its end,
+// or nil when nothing was to be had a moment ago.
 func (b *borrower) start(limit string, need int64) <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	one := b.limits[limit]
-	if one == nil {
-		one = &borrowing{}
-		b.limits[limit] = one
-	}
-	if one.running != nil {
-		return one.running
-	}
-	if b.server.clock.Now() < one.dry {
+	round, asks := b.policy.Start(b.server.clock.Now(), limit, need)
+	if round == nil {
 		return nil
 	}
-	done := make(chan struct{})
-	one.running = done
-	peers := b.order(one)
-	go b.run(limit, need, one, peers, done)
-	return done
+	end := b.ends[round]
+	if end == nil {
+		end = make(chan struct{})
+		b.ends[round] = end
+	}
+	b.sendAll(round, asks)
+	return end
 }
 
-// order returns whom to ask: the last giver first, then the others in turn.
-func (b *borrower) order(one *borrowing) []tracker.Host {
-	if len(b.peers) == 0 {
-		return nil
+func (b *borrower) sendAll(round *sharer.Round, asks []sharer.Ask) {
+	for _, ask := range asks {
+		go func() { b.answered(round, ask.To, b.send(ask)) }()
 	}
-	one.turn++
-	peers := make([]tracker.Host, 0, len(b.peers))
-	for i := range b.peers {
-		peers = append(peers, b.peers[(one.turn+i)%len(b.peers)])
-	}
-	sort.SliceStable(peers, func(i, j int) bool {
-		return peers[i].ID.Name == one.giver && peers[j].ID.Name != one.giver
-	})
-	return peers[:min(len(peers), borrowPeers)]
 }
 
-func (b *borrower) run(limit string, need int64, one *borrowing, peers []tracker.Host, done chan struct{}) {
-	giver := ""
-	for _, peer := range peers {
-		if b.ask(peer, limit, need) {
-			giver = peer.ID.Name
-			break
-		}
-	}
+func (b *borrower) answered(round *sharer.Round, from tracker.HostID, gave bool) {
 	b.mu.Lock()
-	one.giver = giver
-	one.running = nil
-	if giver == "" {
-		one.dry = b.server.clock.Now() + dryPause
+	asks, over := b.policy.Answered(b.server.clock.Now(), round, from, gave)
+	b.sendAll(round, asks)
+	if over && b.ends[round] != nil {
+		close(b.ends[round])
+		delete(b.ends, round)
 	}
 	b.mu.Unlock()
-	close(done)
-	b.server.kickPools()
+	if gave {
+		b.server.kickPools()
+	}
 }
 
-// ask sends one ask and takes in the answer. It reports whether anything came.
-func (b *borrower) ask(peer tracker.Host, limit string, need int64) bool {
+// send sends one ask and takes in the answer. It reports whether anything came.
+func (b *borrower) send(ask sharer.Ask) bool {
 	s := b.server
-	ask, ok := s.sharer.Ask(s.clock.Now(), peer.ID, limit, need)
-	if !ok {
+	giver, member := s.sharer.Roster().Member(ask.To)
+	if !member {
 		return false
 	}
-	return b.send(peer.Control, ask)
-}
-
-func (b *borrower) send(address string, ask sharer.Ask) bool {
-	s := b.server
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	resp, err := s.messenger.Peer(address).Ask(ctx, connect.NewRequest(messenger.EncodeAsk(ask)))
+	resp, err := s.messenger.Peer(giver.Control).Ask(ctx, connect.NewRequest(messenger.EncodeAsk(ask)))
 	if err != nil {
 		return false
 	}
@@ -150,26 +130,15 @@
 	return s.sharer.Receive(s.clock.Now(), messenger.DecodeTransfer(resp.Msg.GetTransfer()))
 }
 
-// rebalance asks ahead of need for every limit that the host is short of.
+// rebalance asks ahead of need for every limit that the host is short of, and
+// again for what lost answers granted.
 func (b *borrower) rebalance() {
-	s := b.server
-	now := s.clock.Now()
-	for _, limit := range s.sharer.Limits() {
-		if s.sharer.Short(now, limit.Name()) {
-			b.start(limit.Name(), 0)
-		}
+	now := b.server.clock.Now()
+	for _, limit := range b.policy.Short(now) {
+		b.start(limit, 0)
 	}
-	b.settle(now)
-}
-
-// settle sends the asks again whose answers got lost.
-func (b *borrower) settle(now time.Duration) {
-	s := b.server
-	roster := s.sharer.Roster()
-	for _, ask := range s.sharer.Unsettled(now, 2*askTimeout) {
-		if giver, member := roster.Member(ask.To); member {
-			go b.send(giver.Control, ask)
-		}
+	for _, ask := range b.server.sharer.Unsettled(now, 2*askTimeout) {
+		go b.send(ask)
 	}
 }
 
@@ -181,9 +150,3 @@
 		}
 	}
 }
-
-func (b *borrower) current() []tracker.Host {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.peers
-}
--- a/internal/server/data.go
+++ b/internal/server/data.go
@@ -130,7 +130,8 @@
 	if s.takeOne(grant.Limit()) {
 		return nil
 	}
-	if s.borrower.borrow(ctx, grant.Limit()) && s.takeOne(grant.Limit()) {
+	take := func() bool { return s.takeOne(grant.Limit()) }
+	if s.borrower.borrow(ctx, grant.Limit(), take) {
 		s.counters.borrowed.Inc(1)
 		return nil
 	}
--- a/pkg/sharer/entry.go
+++ b/pkg/sharer/entry.go
@@ -146,7 +146,8 @@
 		part.Capacity = min(part.Capacity, tokens)
 		return part, part.Capacity
 	}
-	part.Capacity = max(part.Capacity, e.needed(ask, tokens))
+	// A part of the need helps too: the asker collects from several hosts.
+	part.Capacity = max(part.Capacity, min(ask.Need, tokens))
 	part.Capacity = min(part.Capacity, have.Capacity)
 	moved := int64(0)
 	if have.Capacity > 0 {
@@ -155,13 +156,6 @@
 	return part, min(max(moved, min(ask.Need, tokens)), part.Capacity)
 }
 
-func (e *entry) needed(ask Ask, tokens int64) int64 {
-	if tokens < ask.Need {
-		return 0
-	}
-	return ask.Need
-}
-
 func (e *entry) proportional(have limiter.Amount, ask Ask, theirBase, myBase int64) limiter.Amount {
 	wanted := float64(max(ask.Demand, theirBase) + 1)
 	ratio := wanted / (wanted + float64(max(e.demand, e.asked, myBase)+1))
