sharer: keep rounds for a request apart from those ahead of need

Cause: rounds ahead of need often bring nothing, since small differences do not move, and each such round doubled the pause in which nobody is asked. Requests that were short met that pause and were refused without asking anyone.

--- a/pkg/sharer/borrower.go
+++ b/pkg/sharer/borrower.go
@@ -17,11 +17,18 @@
 // stop asking. It does no I/O and is not safe for concurrent use.
 type Borrower struct {
 	sharer *Sharer
-	limits map[string]*borrowing
+	limits map[purpose]*borrowing
 	peers  []tracker.HostID // nearest first
 }
 
-// borrowing is the state for one limit.
+// purpose tells rounds for a request apart from those ahead of need, which find
+// nothing more often and must not hold up the others.
+type purpose struct {
+	limit  string
+	urgent bool
+}
+
+// borrowing is the state for one purpose.
 type borrowing struct {
 	round *Round        // the running one, or nil
 	dry   time.Duration // nothing is asked before this
@@ -30,7 +37,8 @@
 	turn  int // rotates the hosts asked
 }
 
-// Round is one round of asks for a limit. Only one runs at a time.
+// Round is one round of asks for a limit. Only one runs at a time
+// for each purpose.
 type Round struct {
 	limit string
 	need  int64 // whole units, or 0 for a round ahead of need
@@ -41,7 +49,7 @@
 
 // NewBorrower returns a borrower that knows no other hosts.
 func NewBorrower(s *Sharer) *Borrower {
-	return &Borrower{sharer: s, limits: map[string]*borrowing{}}
+	return &Borrower{sharer: s, limits: map[purpose]*borrowing{}}
 }
 
 // SetPeers sets the hosts that may be asked, nearest first.
@@ -51,10 +59,11 @@
 // was to be had a moment ago. The asks are to be sent; each answer goes to
 // Answered.
 func (b *Borrower) Start(now time.Duration, limit string, need int64) (*Round, []Ask) {
-	one := b.limits[limit]
+	key := purpose{limit: limit, urgent: need > 0}
+	one := b.limits[key]
 	if one == nil {
 		one = &borrowing{}
-		b.limits[limit] = one
+		b.limits[key] = one
 	}
 	if one.round != nil {
 		return one.round, nil
@@ -130,7 +139,7 @@
 // Answered takes in the answer to one ask of a round: whether anything came. It
 // returns further asks to send, and whether the round is over.
 func (b *Borrower) Answered(now time.Duration, round *Round, from tracker.HostID, gave bool) ([]Ask, bool) {
-	one := b.limits[round.limit]
+	one := b.limits[purpose{limit: round.limit, urgent: round.need > 0}]
 	if one == nil || one.round != round {
 		return nil, true
 	}
