sharer: average demand over as many requests as tell hosts apart

Cause: demand was averaged over 1 s. At 10 requests a second over 8 hosts that is one request a host, so parts chased noise.

Tried and reverted: not borrowing while the own demand is 1.5 times the own part and a round ahead of need brought nothing.

Conclusion: a host cannot tell overload of the workspace from its own.

--- a/pkg/sharer/borrower.go
+++ b/pkg/sharer/borrower.go
@@ -126,7 +126,9 @@
 }
 
 func (b *Borrower) end(now time.Duration, one *borrowing) {
-	if one.round.gave {
+	// Crumbs that do not make up what a request needs are no success: an
+	// overloaded workspace would be asked for again at once.
+	if b.enough(now, one.round) {
 		one.pause = 0
 	} else {
 		one.pause = min(max(firstDry, 2*one.pause), longestDry)
--- a/pkg/sharer/entry.go
+++ b/pkg/sharer/entry.go
@@ -10,10 +10,12 @@
 
 const (
 	demandWindow = 250 * time.Millisecond
-	demandDecay  = 4  // windows over which demand is averaged
-	baseShare    = 64 // a host counts as wanting at least total/baseShare
-	homeShare    = 4  // a host of the limit's home counts as wanting total/homeShare
-	hysteresis   = 20 // parts below total/hysteresis do not move without need
+	leastDecay   = 4   // windows over which demand is averaged, at least
+	mostDecay    = 120 // and at most
+	decayUnits   = 200 // units of the whole limit that an average should cover
+	baseShare    = 64  // a host counts as wanting at least total/baseShare
+	homeShare    = 4   // a host of the limit's home counts as wanting total/homeShare
+	hysteresis   = 20  // parts below total/hysteresis do not move without need
 )
 
 // sums is what went from one host to another in the present epoch.
@@ -70,8 +72,9 @@
 	if e.limit.kind == Rate {
 		sample = int64(float64(e.asked) / passed.Seconds())
 	}
-	windows := min(int64(passed/demandWindow), demandDecay)
-	e.demand += (sample - e.demand) * windows / demandDecay
+	decay := e.decay()
+	windows := min(int64(passed/demandWindow), decay)
+	e.demand += (sample - e.demand) * windows / decay
 	e.asked = 0
 	if e.limit.kind == Level {
 		e.asked = e.inUse
@@ -79,6 +82,16 @@
 	e.windowed = now
 }
 
+// decay returns the windows over which demand is averaged. A small rate needs a
+// long time until differences between hosts mean anything.
+func (e *entry) decay() int64 {
+	if e.limit.kind == Level || e.limit.total.Rate == 0 {
+		return leastDecay
+	}
+	units := decayUnits * limiter.Unit / e.limit.total.Rate // seconds
+	return min(max(units*int64(time.Second/demandWindow), leastDecay), mostDecay)
+}
+
 func (e *entry) take(now time.Duration, n int64) bool {
 	e.note(now, n)
 	if !e.bucket.Take(now, n) {
