sharer: ask first where most should be left, and less often ahead of need

Cause: rounds ahead of need asked all hosts five times a second, and rounds for a request asked hosts in turn, whatever they had. Answers now say what the giver has left and is asked for; a request's round starts with the host that should have most by now; ahead of need one host is asked a round; pauses are 5 to 100 ms, and 500 ms when all hosts together are asked for twice the rate.

--- a/internal/experimenter/shares.go
+++ b/internal/experimenter/shares.go
@@ -290,7 +290,7 @@
 	} else {
 		h.sharer.Settled(ask)
 	}
-	more, over := h.borrower.Answered(e.now, round, ask.To, gave)
+	more, over := h.borrower.Answered(e.now, round, gave)
 	e.send(h, round, more)
 	if over {
 		waiting := h.waiting[round]
--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -137,7 +137,7 @@
 	return &peerv1.Transfer{
 		From: EncodeID(t.From), To: EncodeID(t.To), Epoch: t.Epoch, Limit: t.Limit,
 		Total: EncodeAmount(t.Total), Given: EncodeAmount(t.Given), Tokens: t.Tokens,
-		Answers: t.Answers,
+		Answers: t.Answers, Left: EncodeAmount(t.Left), Spare: t.Spare, Demand: t.Demand,
 	}
 }
 
@@ -147,6 +147,7 @@
 		Message: sharer.Message{From: DecodeID(t.GetFrom()), To: DecodeID(t.GetTo()), Epoch: t.GetEpoch()},
 		Limit:   t.GetLimit(), Total: DecodeAmount(t.GetTotal()),
 		Given: DecodeAmount(t.GetGiven()), Tokens: t.GetTokens(), Answers: t.GetAnswers(),
+		Left: DecodeAmount(t.GetLeft()), Spare: t.GetSpare(), Demand: t.GetDemand(),
 	}
 }
 
--- a/internal/server/borrower.go
+++ b/internal/server/borrower.go
@@ -92,13 +92,13 @@
 
 func (b *borrower) sendAll(round *sharer.Round, asks []sharer.Ask) {
 	for _, ask := range asks {
-		go func() { b.answered(round, ask.To, b.send(ask)) }()
+		go func() { b.answered(round, b.send(ask)) }()
 	}
 }
 
-func (b *borrower) answered(round *sharer.Round, from tracker.HostID, gave bool) {
+func (b *borrower) answered(round *sharer.Round, gave bool) {
 	b.mu.Lock()
-	asks, over := b.policy.Answered(b.server.clock.Now(), round, from, gave)
+	asks, over := b.policy.Answered(b.server.clock.Now(), round, gave)
 	b.sendAll(round, asks)
 	if over && b.ends[round] != nil {
 		close(b.ends[round])
--- a/pkg/sharer/borrower.go
+++ b/pkg/sharer/borrower.go
@@ -1,6 +1,7 @@
 package sharer
 
 import (
+	"sort"
 	"time"
 
 	"magnoliahill.example/magnoliahill/pkg/limiter"
@@ -8,9 +9,10 @@
 )
 
 const (
-	borrowBatch = 3                     // hosts asked at the same time
-	firstDry    = 25 * time.Millisecond // after nothing was to be had, nobody is asked for this long
-	longestDry  = time.Second           // the pause doubles up to this while nothing is to be had
+	borrowBatch = 3                      // hosts asked at the same time
+	firstDry    = 5 * time.Millisecond   // after nothing was to be had, nobody is asked for this long
+	longestDry  = 100 * time.Millisecond // the pause doubles up to this while nothing is to be had
+	overDry     = 500 * time.Millisecond // the pause when the workspace is over its rate everywhere
 )
 
 // Borrower decides whom a host asks for a limit that it is short of, and when to
@@ -33,8 +35,7 @@
 	round *Round        // the running one, or nil
 	dry   time.Duration // nothing is asked before this
 	pause time.Duration // the last pause after a round that brought nothing; 0 after one that did
-	giver tracker.HostID
-	turn  int // rotates the hosts asked
+	turn  int           // rotates the hosts asked
 }
 
 // Round is one round of asks for a limit. Only one runs at a time
@@ -71,7 +72,7 @@
 	if now < one.dry {
 		return nil, nil
 	}
-	round := &Round{limit: limit, need: need, rest: b.order(one)}
+	round := &Round{limit: limit, need: need, rest: b.order(now, one, limit, need)}
 	one.round = round
 	asks := b.next(now, one)
 	if one.round == nil {
@@ -80,20 +81,22 @@
 	return round, asks
 }
 
-// order returns whom to ask: the last giver first, then the others in turn.
-func (b *Borrower) order(one *borrowing) []tracker.HostID {
-	one.turn++
+// order returns whom to ask: for a request those first that should have most,
+// ahead of need one host after the other.
+func (b *Borrower) order(now time.Duration, one *borrowing, limit string, need int64) []tracker.HostID {
 	order := make([]tracker.HostID, 0, len(b.peers))
-	for _, peer := range b.peers {
-		if peer == one.giver {
-			order = append(order, peer)
-		}
-	}
+	one.turn++
 	for i := range b.peers {
-		if peer := b.peers[(one.turn+i)%len(b.peers)]; peer != one.giver {
-			order = append(order, peer)
-		}
+		order = append(order, b.peers[(one.turn+i)%len(b.peers)])
 	}
+	if need == 0 {
+		return order[:min(len(order), 1)]
+	}
+	estimates := make(map[tracker.HostID]int64, len(order))
+	for _, peer := range order {
+		estimates[peer] = b.sharer.estimate(now, peer, limit)
+	}
+	sort.SliceStable(order, func(i, j int) bool { return estimates[order[i]] > estimates[order[j]] })
 	return order
 }
 
@@ -101,11 +104,16 @@
 func (b *Borrower) next(now time.Duration, one *borrowing) []Ask {
 	round := one.round
 	var asks []Ask
+	expected := int64(0)
 	for len(round.rest) > 0 && len(asks) < borrowBatch && !b.enough(now, round) {
 		peer := round.rest[0]
 		round.rest = round.rest[1:]
 		if ask, ok := b.sharer.Ask(now, peer, round.limit, round.need); ok {
 			asks = append(asks, ask)
+			expected += b.sharer.estimate(now, peer, round.limit)
+		}
+		if round.need > 0 && expected >= 2*round.need*limiter.Unit {
+			break // more would only leave others short
 		}
 	}
 	round.open = len(asks)
@@ -132,7 +140,9 @@
 		one.pause = 0
 	} else {
 		one.pause = min(max(firstDry, 2*one.pause), longestDry)
-		one.giver = tracker.HostID{}
+		if b.sharer.overloaded(now, one.round.limit, b.peers) {
+			one.pause = overDry
+		}
 	}
 	one.dry = now + one.pause
 	one.round = nil
@@ -140,14 +150,13 @@
 
 // Answered takes in the answer to one ask of a round: whether anything came. It
 // returns further asks to send, and whether the round is over.
-func (b *Borrower) Answered(now time.Duration, round *Round, from tracker.HostID, gave bool) ([]Ask, bool) {
+func (b *Borrower) Answered(now time.Duration, round *Round, gave bool) ([]Ask, bool) {
 	one := b.limits[purpose{limit: round.limit, urgent: round.need > 0}]
 	if one == nil || one.round != round {
 		return nil, true
 	}
 	if gave {
 		round.gave = true
-		one.giver = from
 	}
 	round.open--
 	if round.open > 0 {
--- a/pkg/sharer/limit.go
+++ b/pkg/sharer/limit.go
@@ -84,6 +84,9 @@
 	Total   limiter.Amount
 	Given   limiter.Amount // sum over the epoch
 	Tokens  int64          // sum over the epoch
+	Left    limiter.Amount // what the giver has now; tells whom to ask next
+	Spare   int64          // token units the giver has now
+	Demand  int64          // of the giver; see Ask
 }
 
 // Report states what a host held when it entered an epoch.
--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -31,6 +31,7 @@
 	confirmed  bool   // the epoch's census knows what is held; before, nothing moves and the lease is not renewed
 	contacts   map[tracker.HostID]time.Duration
 	debts      map[debt]request // asks of the present epoch without an answer
+	hints      map[debt]hint    // of the present epoch
 	asked      uint64           // id of the last ask
 	retired    bool             // holds nothing any more, for good
 	lost       int64            // messages that had no effect because of their epoch or total
@@ -46,7 +47,7 @@
 
 // New returns a sharer that holds nothing.
 func New(self tracker.HostID, options ...Option) *Sharer {
-	s := &Sharer{self: self, lease: DefaultLease, contacts: map[tracker.HostID]time.Duration{}, debts: map[debt]request{}}
+	s := &Sharer{self: self, lease: DefaultLease, contacts: map[tracker.HostID]time.Duration{}, debts: map[debt]request{}, hints: map[debt]hint{}}
 	for _, option := range options {
 		option(s)
 	}
@@ -289,6 +290,7 @@
 func (s *Sharer) enter(now time.Duration, member bool) {
 	s.contacts = map[tracker.HostID]time.Duration{}
 	s.debts = map[debt]request{}
+	s.hints = map[debt]hint{}
 	s.confirmed = s.roster.Taker == s.self
 	report := Report{
 		Message:    Message{From: s.self, To: s.roster.Taker, Epoch: s.roster.Epoch},
--- a/pkg/sharer/transfer.go
+++ b/pkg/sharer/transfer.go
@@ -22,6 +22,52 @@
 	sent time.Duration
 }
 
+// hint is what another host had of a limit when it was last heard of it.
+type hint struct {
+	left   limiter.Amount
+	spare  int64
+	demand int64
+	seen   time.Duration
+}
+
+// estimate returns the token units that another host may have by now.
+func (s *Sharer) estimate(now time.Duration, of tracker.HostID, limit string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, known := s.hints[debt{to: of, limit: limit}]
+	if !known {
+		return limiter.Unit // worth a try
+	}
+	bucket := limiter.NewBucket(h.left, h.spare, h.seen)
+	return bucket.Tokens(now)
+}
+
+const hintAge = 5 * time.Second // older hints say nothing of demand
+
+// overloaded reports whether the hosts together are asked for more than twice
+// the rate. It needs a fresh hint of every one of them.
+func (s *Sharer) overloaded(now time.Duration, limit string, peers []tracker.HostID) bool {
+	e := s.entry(limit)
+	if e == nil || e.limit.kind != Rate {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := int64(0)
+	for _, peer := range peers {
+		h, known := s.hints[debt{to: peer, limit: limit}]
+		if !known || now-h.seen > hintAge {
+			return false
+		}
+		sum += h.demand
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.roll(now)
+	sum += e.demand
+	return sum > 2*e.limit.total.Rate
+}
+
 // Unsettled returns the asks without an answer for longer than an age, made
 // anew. Sent again, they bring what the lost answers granted.
 func (s *Sharer) Unsettled(now, age time.Duration) []Ask {
@@ -124,6 +170,9 @@
 		Total:   e.limit.total,
 		Given:   total.amount,
 		Tokens:  total.tokens,
+		Left:    e.bucket.Amount(),
+		Spare:   e.bucket.Tokens(now),
+		Demand:  e.demand,
 	}, true
 }
 
@@ -137,6 +186,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.settle(t.From, t.Limit, t.Answers)
+	s.hints[debt{to: t.From, limit: t.Limit}] = hint{left: t.Left, spare: t.Spare, demand: t.Demand, seen: now}
 	e := s.entry(t.Limit)
 	if e == nil || !s.valid(t.Message) {
 		s.lost++
