--- /dev/null
+++ b/internal/commander/capacity.go
@@ -0,0 +1,34 @@
+package commander
+
+import (
+	"fmt"
+
+	"magnoliahill.example/magnoliahill/internal/estimator"
+)
+
+func init() {
+	register("capacity", "Work out what a fleet's size needs",
+		"Measures on this machine how state, messages and processor time grow, and prints the tables of docs/CAPACITY.md: what each role needs of a daemon, against its bounds.",
+		func(out *output) command { return &capacityCommand{out: out} })
+}
+
+type capacityCommand struct {
+	out *output
+}
+
+// Execute implements command.
+func (c *capacityCommand) Execute([]string) error {
+	w := c.out.stdout
+	slopes := estimator.Measure(func(name string) {
+		_, _ = fmt.Fprintln(c.out.stderr, "measured:", name)
+	})
+	_, _ = fmt.Fprint(w, "## Measured slopes\n\n")
+	estimator.WriteSlopes(w, slopes)
+	for _, size := range []estimator.Size{estimator.Full(), estimator.Today()} {
+		needs := estimator.Needs(slopes, size)
+		needs = append(needs, estimator.Sum(needs, false), estimator.Sum(needs, true))
+		_, _ = fmt.Fprintf(w, "\n## One daemon at the size %q\n\n", size.Name)
+		estimator.WriteNeeds(w, size, needs)
+	}
+	return nil
+}
--- a/internal/parser/document.go
+++ b/internal/parser/document.go
@@ -49,6 +49,7 @@
 	"keys":      parseKeys,
 	"topology":  parseTopology,
 	"move":      parseMove,
+	"site":      parseSite,
 }
 
 func kindNames() []string {
--- /dev/null
+++ b/internal/parser/site.go
@@ -0,0 +1,26 @@
+package parser
+
+import (
+	"net/netip"
+
+	"magnoliahill.example/magnoliahill/internal/reader"
+	"magnoliahill.example/magnoliahill/pkg/cataloger"
+)
+
+func parseSite(m *reader.Mapping) cataloger.Parts {
+	name := m.Required("site")
+	zone := m.Required("zone")
+	var blocks []netip.Prefix
+	for _, text := range m.Strings("blocks") {
+		block, err := netip.ParsePrefix(text)
+		if err != nil {
+			m.Fail("blocks", "%q is not a client block such as 10.1.0.0/16", text)
+			continue
+		}
+		if block != block.Masked() {
+			m.Fail("blocks", "%q has bits beyond its length, meant is %s", text, block.Masked())
+		}
+		blocks = append(blocks, block)
+	}
+	return cataloger.Parts{Sites: []*cataloger.Site{cataloger.NewSite(origin(m), name, zone, blocks)}}
+}
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -165,6 +165,7 @@
 	next.catalog = catalog
 	next.table = admitter.NewTable(catalog)
 	next.pools = pools
+	next.blocks = steerer.BuildBlocks(catalog.Sites())
 	if l.fire("configured") {
 		l.tracker.SetState(tracker.Serving)
 		next.phase = serving
--- a/internal/server/data.go
+++ b/internal/server/data.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -42,14 +43,14 @@
 	s.counters.lookups.Inc(1)
 	snap := s.snapshot.Load()
 	query := r.URL.Query()
-	zone := query.Get("zone")
-	if zone == "" {
-		zone = s.settings.Host().Zone()
-	}
 	if snap.lookup == nil {
 		s.noConfig().Write(w)
 		return
 	}
+	zone := query.Get("zone")
+	if zone == "" {
+		zone = s.nearest(snap, query.Get("block"), r.RemoteAddr)
+	}
 	answer := snap.lookup.Answer(zone, query.Get("workspace"))
 	if answer == nil {
 		http.Error(w, fmt.Sprintf("availability zone %q does not exist", zone), http.StatusNotFound)
@@ -59,6 +60,23 @@
 	_, _ = w.Write(answer)
 }
 
+// nearest returns the zone of the site that a caller's block belongs to, by the
+// block that the caller names or by its address, or else the own zone.
+func (s *Server) nearest(snap *snapshot, block, remote string) string {
+	address, err := netip.ParseAddr(block)
+	if err != nil {
+		port, err := netip.ParseAddrPort(remote)
+		if err != nil {
+			return s.settings.Host().Zone()
+		}
+		address = port.Addr()
+	}
+	if site := snap.blocks.Find(address); site != nil {
+		return site.Zone()
+	}
+	return s.settings.Host().Zone()
+}
+
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
 	if s.snapshot.Load().phase != serving {
 		http.Error(w, "not serving", http.StatusServiceUnavailable)
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -13,6 +13,7 @@
 	table   *admitter.Table    // nil before the first configuration
 	pools   map[string]*pool   // by service
 	lookup  *steerer.Table
+	blocks  *steerer.Blocks // nil before the first configuration
 	phase   phase
 }
 
--- a/pkg/cataloger/catalog.go
+++ b/pkg/cataloger/catalog.go
@@ -40,6 +40,7 @@
 	Regions    []*Region
 	Links      []*Link
 	Moves      []*Move
+	Sites      []*Site
 }
 
 // Append adds another file's items.
@@ -50,6 +51,7 @@
 	p.Regions = append(p.Regions, more.Regions...)
 	p.Links = append(p.Links, more.Links...)
 	p.Moves = append(p.Moves, more.Moves...)
+	p.Sites = append(p.Sites, more.Sites...)
 }
 
 // Catalog is one configuration. It never changes once built, and every name in
@@ -82,6 +84,7 @@
 	v.allWorkspaces()
 	v.allKeys()
 	v.allMoves()
+	v.allSites()
 	if len(v.faults) > 0 {
 		return nil, v.faults
 	}
@@ -115,6 +118,9 @@
 // Moves returns all planned moves. The slice must not be changed.
 func (c *Catalog) Moves() []*Move { return c.parts.Moves }
 
+// Sites returns all sites. The slice must not be changed.
+func (c *Catalog) Sites() []*Site { return c.parts.Sites }
+
 // RegionOf returns the region of an availability zone, or "".
 func (c *Catalog) RegionOf(zone string) string { return c.zoneRegion[zone] }
 
--- /dev/null
+++ b/pkg/cataloger/site.go
@@ -0,0 +1,26 @@
+package cataloger
+
+import "net/netip"
+
+// Site is a place that callers are steered to, with the blocks of client
+// addresses that it serves fastest.
+type Site struct {
+	Origin
+	name   string
+	zone   string         // availability zone that its entry hosts stand in
+	blocks []netip.Prefix // unique over all sites
+}
+
+// NewSite returns a site with its client blocks.
+func NewSite(origin Origin, name, zone string, blocks []netip.Prefix) *Site {
+	return &Site{Origin: origin, name: name, zone: zone, blocks: blocks}
+}
+
+// Name returns the site's name.
+func (s *Site) Name() string { return s.name }
+
+// Zone returns the availability zone of its entry hosts.
+func (s *Site) Zone() string { return s.zone }
+
+// Blocks returns the client blocks. The slice must not be changed.
+func (s *Site) Blocks() []netip.Prefix { return s.blocks }
--- a/pkg/cataloger/validator.go
+++ b/pkg/cataloger/validator.go
@@ -1,6 +1,9 @@
 package cataloger
 
-import "fmt"
+import (
+	"fmt"
+	"net/netip"
+)
 
 // validator fills a catalog's indexes and collects what does not fit.
 type validator struct {
@@ -132,3 +135,23 @@
 	}
 	return false
 }
+
+func (v *validator) allSites() {
+	names := map[string]bool{}
+	owners := map[netip.Prefix]string{}
+	for _, site := range v.catalog.parts.Sites {
+		if names[site.name] {
+			v.fail(site.Origin, "site", "site %q stands twice", site.name)
+		}
+		names[site.name] = true
+		if v.catalog.zoneRegion[site.zone] == "" {
+			v.fail(site.Origin, "zone", "availability zone %q does not exist", site.zone)
+		}
+		for _, block := range site.blocks {
+			if other, twice := owners[block]; twice {
+				v.fail(site.Origin, "blocks", "block %s belongs to site %q already", block, other)
+			}
+			owners[block] = site.name
+		}
+	}
+}
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -47,9 +47,9 @@
 // out as long as a serving one is known.
 func Build(zones []string, hosts []tracker.Host, distance Distance, ttl time.Duration) *Table {
 	t := &Table{zones: make(map[string]*[slots][]byte, len(zones))}
-	serving := servingHosts(hosts)
+	rankings := rankZones(servingHosts(hosts))
 	for _, zone := range zones {
-		t.zones[zone] = buildZone(zone, serving, distance, ttl)
+		t.zones[zone] = buildZone(zone, rankings, distance, ttl)
 	}
 	return t
 }
@@ -67,14 +67,49 @@
 	return serving
 }
 
-func buildZone(zone string, hosts []tracker.Host, distance Distance, ttl time.Duration) *[slots][]byte {
+// ranking holds for each slot the first hosts of one zone.
+type ranking [slots][]tracker.Host
+
+// rankZones ranks the hosts of each zone for each slot.
+func rankZones(hosts []tracker.Host) map[string]*ranking {
+	byZone := map[string][]tracker.Host{}
+	for _, host := range hosts {
+		byZone[host.Zone] = append(byZone[host.Zone], host)
+	}
+	rankings := make(map[string]*ranking, len(byZone))
+	for zone, members := range byZone {
+		r := &ranking{}
+		for slot := range slots {
+			ranked := tracker.Rank("slot/"+strconv.Itoa(slot), members)
+			r[slot] = ranked[:min(maxHosts, len(ranked))]
+		}
+		rankings[zone] = r
+	}
+	return rankings
+}
+
+func buildZone(zone string, rankings map[string]*ranking, distance Distance, ttl time.Duration) *[slots][]byte {
+	near := make([]string, 0, len(rankings))
+	for other := range rankings {
+		near = append(near, other)
+	}
+	sort.Slice(near, func(i, j int) bool {
+		a, b := distance(zone, near[i]), distance(zone, near[j])
+		if a != b {
+			return a < b
+		}
+		return near[i] < near[j]
+	})
 	var answers [slots][]byte
 	for slot := range slots {
-		ranked := tracker.Rank("slot/"+strconv.Itoa(slot), hosts)
-		sort.SliceStable(ranked, func(i, j int) bool {
-			return distance(zone, ranked[i].Zone) < distance(zone, ranked[j].Zone)
-		})
-		answers[slot] = encode(ranked[:min(maxHosts, len(ranked))], ttl)
+		var chosen []tracker.Host
+		for _, other := range near {
+			if len(chosen) >= maxHosts {
+				break
+			}
+			chosen = append(chosen, rankings[other][slot]...)
+		}
+		answers[slot] = encode(chosen[:min(maxHosts, len(chosen))], ttl)
 	}
 	return &answers
 }
