--- a/internal/commander/capacity.go
+++ b/internal/commander/capacity.go
@@ -28,7 +28,7 @@
 		needs := estimator.Needs(slopes, size)
 		needs = append(needs, estimator.Sum(needs, false), estimator.Sum(needs, true))
 		_, _ = fmt.Fprintf(w, "\n## One daemon at the size %q\n\n", size.Name)
-		estimator.WriteNeeds(w, size, needs)
+		estimator.WriteNeeds(w, needs)
 	}
 	return nil
 }
--- a/internal/estimator/page.go
+++ b/internal/estimator/page.go
@@ -28,8 +28,8 @@
 
 // WriteNeeds writes what each role needs at a size as a Markdown table, with
 // the bounds that a row breaks.
-func WriteNeeds(w io.Writer, z Size, needs []Need) {
-	_, _ = fmt.Fprintf(w, "| role | mechanism | memory | network | core | store calls, fleet | over its bound |\n")
+func WriteNeeds(w io.Writer, needs []Need) {
+	_, _ = fmt.Fprintln(w, "| role | mechanism | memory | network | core | store calls, fleet | over its bound |")
 	_, _ = fmt.Fprintln(w, "|---|---|---|---|---|---|---|")
 	for _, n := range needs {
 		role := n.Role
