tracker: send pulses between hosts that know the same hosts

Cause: docs/CAPACITY.md showed membership over its network bound already today: each exchange carried all that is known of each host, twice a second and begun by both sides of each pair.

Now a digest of the known incarnations decides between whole heartbeats and pulses of 15 bytes; one exchange a heartbeat serves a pair; a heartbeat is 1 s.

Conclusion: enough for dozens of hosts; at full size the digest must also scope what is relayed.

--- a/internal/estimator/measure.go
+++ b/internal/estimator/measure.go
@@ -125,17 +125,26 @@
 	return list
 }
 
+func pulses(n int) []tracker.Pulse {
+	list := make([]tracker.Pulse, 0, n)
+	for _, b := range beats(n) {
+		list = append(list, tracker.Pulse{Incarnation: b.ID.Incarnation, Counter: b.Counter})
+	}
+	return list
+}
+
 func exchange(n int) *peerv1.ExchangeRequest {
 	return &peerv1.ExchangeRequest{
-		Stamp: &peerv1.Stamp{Wall: 1_800_000_000_000_000_000, Logical: 1},
-		Beats: messenger.EncodeBeats(beats(n)), Generation: 100_000, Epoch: 10_000,
+		Stamp:  &peerv1.Stamp{Wall: 1_800_000_000_000_000_000, Logical: 1},
+		Pulses: messenger.EncodePulses(pulses(n)), Generation: 100_000, Epoch: 10_000,
+		Digest: 1 << 62, Control: beat(1).Control,
 	}
 }
 
 func exchangeTime(n int) float64 {
-	list := beats(n)
+	list := pulses(n)
 	return nanoseconds(func() {
-		data, err := proto.Marshal(&peerv1.ExchangeRequest{Beats: messenger.EncodeBeats(list)})
+		data, err := proto.Marshal(&peerv1.ExchangeRequest{Pulses: messenger.EncodePulses(list)})
 		if err != nil {
 			panic(err)
 		}
@@ -143,20 +152,21 @@
 		if err := proto.Unmarshal(data, &back); err != nil {
 			panic(err)
 		}
-		messenger.DecodeBeats(back.GetBeats())
+		messenger.DecodePulses(back.GetPulses())
 	})
 }
 
 func trackTime(n int) float64 {
 	t := tracker.New(beat(100_000))
-	list := beats(n)
+	t.Heard(time.Second, beats(n)...)
+	list := pulses(n)
 	now := time.Second
 	return nanoseconds(func() {
 		now += time.Millisecond
 		for i := range list {
 			list[i].Counter++
 		}
-		t.Heard(now, list...)
+		t.HeardPulses(now, list)
 	})
 }
 
--- a/internal/estimator/role.go
+++ b/internal/estimator/role.go
@@ -13,7 +13,7 @@
 
 // Operating figures that the rows assume.
 const (
-	heartbeats     = 2.0   // exchanges a second with each peer, as built
+	heartbeats     = 1.0   // exchanges a second for each pair of hosts, as built
 	rebalances     = 5.0   // looks for short limits a second
 	rosterReads    = 0.2   // a second and daemon, as built
 	watchersZone   = 2.0   // daemons of a zone that wait on the store
@@ -21,7 +21,7 @@
 	contended      = 10.0  // limits of a daemon that are in demand at several hosts
 	asksContended  = 2.0   // asks a second for each of them, see docs/MEASUREMENTS.md
 	viewChanges    = 3.0   // changes of the live hosts for one restart
-	exchangePeers  = 3.0   // peers of one heartbeat with partial exchange
+	exchangePeers  = 3.0   // peers of one heartbeat with partial exchange, both sides' together
 	dutyHosts      = 2.0   // hosts of a zone that speak to other zones
 	partialBeats   = 1.0   // partial exchanges a second
 	relayedReads   = 0.02  // roster reads a second and zone, with relays
@@ -101,7 +101,7 @@
 }
 
 func membership(s Slopes, view, peers, rate float64, mechanism, missing string) Need {
-	messages := 2 * 2 * peers * rate // request and answer, begun by each side
+	messages := 2 * peers * rate // request and answer, whoever began
 	return Need{
 		Role: "membership", Mechanism: mechanism, Missing: missing,
 		Memory:  400 * view,
--- a/internal/loader/membership.go
+++ b/internal/loader/membership.go
@@ -24,8 +24,8 @@
 
 func readMembership(m *reader.Mapping) Membership {
 	s := Membership{
-		heartbeat: m.Duration("heartbeat", 500*time.Millisecond, 10*time.Millisecond, time.Minute),
-		silence:   m.Duration("silence", 2*time.Second, 50*time.Millisecond, 10*time.Minute),
+		heartbeat: m.Duration("heartbeat", time.Second, 10*time.Millisecond, time.Minute),
+		silence:   m.Duration("silence", 3*time.Second, 50*time.Millisecond, 10*time.Minute),
 		peers:     m.Strings("peers"),
 	}
 	if s.silence < 2*s.heartbeat {
--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -60,6 +60,28 @@
 	return beats
 }
 
+// EncodePulses maps pulses to the wire.
+func EncodePulses(pulses []tracker.Pulse) []*peerv1.Pulse {
+	wire := make([]*peerv1.Pulse, 0, len(pulses))
+	for _, p := range pulses {
+		wire = append(wire, &peerv1.Pulse{Incarnation: p.Incarnation, Counter: p.Counter, State: int32(p.State)})
+	}
+	return wire
+}
+
+// DecodePulses maps pulses from the wire. One with an unknown state is dropped.
+func DecodePulses(wire []*peerv1.Pulse) []tracker.Pulse {
+	pulses := make([]tracker.Pulse, 0, len(wire))
+	for _, p := range wire {
+		state := tracker.State(p.GetState())
+		if state != tracker.Serving && state != tracker.Leaving {
+			continue
+		}
+		pulses = append(pulses, tracker.Pulse{Incarnation: p.GetIncarnation(), Counter: p.GetCounter(), State: state})
+	}
+	return pulses
+}
+
 // EncodeHead maps a configuration head to the wire.
 func EncodeHead(h watcher.Head) *peerv1.Head {
 	return &peerv1.Head{Generation: h.Generation, ChangeId: h.ChangeID, Author: h.Author, Files: h.Files}
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -26,15 +26,39 @@
 	}
 	delete(addresses, l.server.settings.Listen().Control())
 	for address := range addresses {
-		l.exchange(now, address)
+		if l.due(now, address) {
+			l.exchange(now, address)
+		}
 	}
 }
 
+// due reports whether a host is to be spoken to. One exchange a heartbeat is
+// enough for a pair of hosts, whoever begins it; own ones are needed for the
+// lease, and at once when the other side lacks something.
+func (l *loop) due(now time.Duration, address string) bool {
+	told, known := l.told[address]
+	heartbeat := l.server.settings.Membership().Heartbeat()
+	switch {
+	case !known || now-told.spoken > heartbeat*3/4:
+		return true
+	case now-told.asked > l.server.settings.Shares().Lease()/4:
+		return true
+	}
+	return l.lacks(told) || !l.server.sharer.Confirmed()
+}
+
+func (l *loop) lacks(told peerKnowledge) bool {
+	return told.generation < l.watcher.Head().Generation || told.epoch < l.server.sharer.Roster().Epoch
+}
+
 func (l *loop) exchange(now time.Duration, address string) {
 	if l.busy[address] {
 		return
 	}
 	l.busy[address] = true
+	told := l.told[address]
+	told.asked = now
+	l.told[address] = told
 	req := l.request(now, address)
 	go func() {
 		sent := l.server.clock.Now()
@@ -54,11 +78,12 @@
 	head := l.watcher.Head()
 	req := &peerv1.ExchangeRequest{
 		Stamp:      messenger.EncodeStamp(l.server.recorder.TimeLine().Clock().Now()),
-		Beats:      messenger.EncodeBeats(l.shares.Beats(now)),
 		Generation: head.Generation,
 		Epoch:      roster.Epoch,
+		Control:    l.server.settings.Listen().Control(),
 	}
 	told := l.told[address]
+	req.Beats, req.Pulses, req.Digest = l.news(now, told.digest)
 	if told.generation < head.Generation {
 		req.Head = messenger.EncodeHead(head)
 	}
@@ -72,6 +97,16 @@
 	return req
 }
 
+// news returns what to tell of the live hosts: pulses to a host that knows the
+// same ones, and else all there is to know.
+func (l *loop) news(now time.Duration, known uint64) ([]*peerv1.Beat, []*peerv1.Pulse, uint64) {
+	digest := l.tracker.Digest(now)
+	if digest == known {
+		return messenger.EncodeBeats(l.shares.GoneBeats()), messenger.EncodePulses(l.tracker.Pulses(now)), digest
+	}
+	return messenger.EncodeBeats(l.shares.Beats(now)), nil, digest
+}
+
 // exchanged is the end of an exchange that this host began.
 type exchanged struct {
 	address string
@@ -87,8 +122,12 @@
 		return
 	}
 	resp := m.resp
-	l.take(now, resp.GetStamp(), resp.GetBeats(), resp.GetHead(), resp.GetRoster())
-	l.told[m.address] = peerKnowledge{generation: resp.GetGeneration(), epoch: resp.GetEpoch()}
+	l.take(now, resp.GetStamp(), resp.GetBeats(), resp.GetPulses(), resp.GetHead(), resp.GetRoster())
+	told := peerKnowledge{
+		generation: resp.GetGeneration(), epoch: resp.GetEpoch(), digest: resp.GetDigest(),
+		spoken: now, asked: l.told[m.address].asked,
+	}
+	l.told[m.address] = told
 	l.server.sharer.Confirm(now, sharer.Verdict{
 		Epoch: resp.GetVerdictEpoch(),
 		Way:   sharer.Way(resp.GetVerdict()),
@@ -98,15 +137,16 @@
 		l.server.configNews.Store(int64(now))
 	}
 	// Tell at once what the other side turned out to lack.
-	if resp.GetGeneration() < l.watcher.Head().Generation || resp.GetEpoch() < l.server.sharer.Roster().Epoch {
+	if l.lacks(told) {
 		l.exchange(now, m.address)
 	}
 }
 
 // take takes in what another host sent, in either direction.
-func (l *loop) take(now time.Duration, stamp *peerv1.Stamp, beats []*peerv1.Beat, head *peerv1.Head, roster *peerv1.Roster) {
+func (l *loop) take(now time.Duration, stamp *peerv1.Stamp, beats []*peerv1.Beat, pulses []*peerv1.Pulse, head *peerv1.Head, roster *peerv1.Roster) {
 	l.server.recorder.TimeLine().Clock().Merge(messenger.DecodeStamp(stamp))
 	l.tracker.Heard(now, messenger.DecodeBeats(beats)...)
+	l.tracker.HeardPulses(now, messenger.DecodePulses(pulses))
 	if roster != nil {
 		l.perform(l.shares.Adopt(now, messenger.DecodeRoster(roster)))
 	}
@@ -129,16 +169,22 @@
 
 func (m *received) apply(l *loop, now time.Duration) {
 	req := m.req
-	l.take(now, req.GetStamp(), req.GetBeats(), req.GetHead(), req.GetRoster())
+	l.take(now, req.GetStamp(), req.GetBeats(), req.GetPulses(), req.GetHead(), req.GetRoster())
+	if address := req.GetControl(); address != "" {
+		l.told[address] = peerKnowledge{
+			generation: req.GetGeneration(), epoch: req.GetEpoch(), digest: req.GetDigest(),
+			spoken: now, asked: l.told[address].asked,
+		}
+	}
 	head := l.watcher.Head()
 	roster := l.server.sharer.Roster()
 	m.resp = &peerv1.ExchangeResponse{
 		From:       messenger.EncodeID(l.server.id),
 		Stamp:      messenger.EncodeStamp(l.server.recorder.TimeLine().Clock().Now()),
-		Beats:      messenger.EncodeBeats(l.shares.Beats(now)),
 		Generation: head.Generation,
 		Epoch:      roster.Epoch,
 	}
+	m.resp.Beats, m.resp.Pulses, m.resp.Digest = l.news(now, req.GetDigest())
 	if req.GetGeneration() < head.Generation {
 		m.resp.Head = messenger.EncodeHead(head)
 	}
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -42,6 +42,9 @@
 type peerKnowledge struct {
 	generation int64
 	epoch      int64
+	digest     uint64        // of the hosts it knows; 0 when not known
+	spoken     time.Duration // end of the last exchange with it, in either direction
+	asked      time.Duration // beginning of the last own exchange with it
 }
 
 // message is one input of the loop.
--- a/pkg/sharer/controller.go
+++ b/pkg/sharer/controller.go
@@ -235,7 +235,12 @@
 // have ended are told as gone while the roster still names them, since a host
 // that started later cannot find the proof again.
 func (c *Controller) Beats(now time.Duration) []tracker.Beat {
-	beats := c.tracker.Beats(now)
+	return append(c.tracker.Beats(now), c.GoneBeats()...)
+}
+
+// GoneBeats returns the farewells of members that are proven to have ended.
+func (c *Controller) GoneBeats() []tracker.Beat {
+	var beats []tracker.Beat
 	for _, m := range c.sharer.Roster().Members {
 		if c.tracker.IsDead(m.ID) {
 			beats = append(beats, tracker.Beat{ID: m.ID, Zone: m.Zone, Control: m.Control, State: tracker.Gone})
