commander: add publish, key, status, timeline, report, host and standin

Cause: operators had only check and serve.

Before: nothing could be published but by the demo. After: scripted tests run the commands against stand-ins: checks, two operators' files, a stale base, keys issued and withdrawn, and two daemons that take up a change and stop as planned.

Conclusion: the path from files to a running pair of hosts works from the command line.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -90,10 +91,31 @@
 	sort.Strings(names)
 	for _, name := range names {
 		f := registry[name]
-		if _, err := parser.AddCommand(name, f.short, f.long, f.make(out)); err != nil {
-			panic(err)
+		group, last, nested := strings.Cut(name, " ")
+		if !nested {
+			mustAdd(parser.AddCommand(name, f.short, f.long, f.make(out)))
+			continue
 		}
+		parent := parser.Find(group)
+		if parent == nil {
+			parent = mustAdd(parser.AddCommand(group, groups[group], groups[group], &struct{}{}))
+		}
+		mustAdd(parent.AddCommand(last, f.short, f.long, f.make(out)))
+	}
+}
+
+// groups describes the commands that only hold others.
+var groups = map[string]string{
+	"key":     "Issue, withdraw and list keys",
+	"host":    "Act on entry hosts",
+	"standin": "Run stand-ins for outside systems",
+}
+
+func mustAdd(c *flags.Command, err error) *flags.Command {
+	if err != nil {
+		panic(err)
 	}
+	return c
 }
 
 func setLog(verbose int, stderr io.Writer) {
--- /dev/null
+++ b/internal/commander/commander_test.go
@@ -0,0 +1,60 @@
+package commander_test
+
+import (
+	"net"
+	"net/http/httptest"
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"magnoliahill.example/magnoliahill/internal/commander"
+	"magnoliahill.example/magnoliahill/internal/standin/backend"
+	"magnoliahill.example/magnoliahill/internal/standin/platform"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"magnoliahill": func() { os.Exit(commander.Run(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// Scripts run the real commands against a stand-in platform, two free control
+// addresses that it lists, and a stand-in backend server.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:  "testdata",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"envfile": expandFile},
+		Setup: func(env *testscript.Env) error {
+			p := platform.New()
+			ps := httptest.NewServer(p)
+			b := backend.New("desk-1")
+			bs := httptest.NewServer(b)
+			env.Defer(ps.Close)
+			env.Defer(bs.Close)
+			env.Setenv("MAGNOLIAHILL_PLATFORM", ps.URL)
+			env.Setenv("BACKEND", bs.Listener.Addr().String())
+			for _, name := range []string{"DATA1", "CONTROL1", "DATA2", "CONTROL2"} {
+				env.Setenv(name, free(t))
+			}
+			p.SetHost(platform.Host{ID: "h1", Zone: "kigali-a", Address: env.Getenv("CONTROL1"), State: "live"})
+			p.SetHost(platform.Host{ID: "h2", Zone: "kigali-b", Address: env.Getenv("CONTROL2"), State: "live"})
+			return nil
+		},
+	})
+}
+
+// expandFile writes a file anew with its environment variables expanded.
+func expandFile(ts *testscript.TestScript, _ bool, args []string) {
+	text := os.Expand(ts.ReadFile(args[0]), ts.Getenv)
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(text), 0o600))
+}
+
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -15,6 +15,7 @@
 	"magnoliahill.example/magnoliahill/internal/keeper"
 	"magnoliahill.example/magnoliahill/internal/loader"
 	"magnoliahill.example/magnoliahill/internal/messenger"
+	"magnoliahill.example/magnoliahill/internal/parser"
 	"magnoliahill.example/magnoliahill/internal/publisher"
 	"magnoliahill.example/magnoliahill/internal/server"
 	"magnoliahill.example/magnoliahill/internal/standin/backend"
@@ -207,7 +208,7 @@
 	for _, w := range f.layout.workspaces {
 		f.keys[w.name] = map[string]string{w.name + "-1": rand.Text(), w.name + "-2": rand.Text()}
 		edits[w.name+".yaml"] = publisher.Replace([]byte(f.layout.workspaceFile(w)))
-		edits["keys-"+w.name+".yaml"] = publisher.Replace([]byte(keysFile(w.name, f.keys[w.name])))
+		edits[parser.KeysFile(w.name)] = publisher.Replace(keysFile(w.name, f.keys[w.name]))
 	}
 	_, err := publisher.New(f.store).Publish(ctx, publisher.Change{Author: "demo", Edits: edits})
 	return errors.Wrap(err, "configuration could not be published")
@@ -251,7 +252,7 @@
 	_, err := publisher.New(f.store).Publish(ctx, publisher.Change{
 		Author: "demo",
 		Edits: map[string]func([]byte) ([]byte, error){
-			"keys-" + workspace + ".yaml": publisher.Replace([]byte(keysFile(workspace, keys))),
+			parser.KeysFile(workspace): publisher.Replace(keysFile(workspace, keys)),
 		},
 	})
 	return err
--- a/internal/demonstrator/layout.go
+++ b/internal/demonstrator/layout.go
@@ -5,9 +5,12 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
+	"magnoliahill.example/magnoliahill/internal/parser"
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
 )
 
@@ -149,14 +152,10 @@
 		w.name, strings.Join(names, ", "), w.rate, w.burst)
 }
 
-func keysFile(workspace string, keys map[string]string) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "kind: keys\nkeys-of: %s\nkeys:\n", workspace)
-	for id, key := range keys {
-		fmt.Fprintf(&b, "  - {id: %s, sha256: %s}\n", id, cataloger.HashKey(key))
-	}
-	if len(keys) == 0 {
-		return fmt.Sprintf("kind: keys\nkeys-of: %s\nkeys: []\n", workspace)
+func keysFile(workspace string, keys map[string]string) []byte {
+	var list []*cataloger.Key
+	for _, id := range slices.Sorted(maps.Keys(keys)) {
+		list = append(list, cataloger.NewKey(cataloger.Origin{}, id, cataloger.HashKey(keys[id]), workspace))
 	}
-	return b.String()
+	return parser.RenderKeys(workspace, list)
 }
