sharer: ask for a census when a lapsed host was counted by what it used

Cause: a host whose lease has lapsed may have more of a level in use than it holds. The census counts the larger; the host may not raise its part to that, and nobody asked for the difference.

--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -367,6 +367,7 @@
 // was in use than held is counted as used, so the host may go on using as much.
 func (s *Sharer) matchReport(now time.Duration) {
 	if int64(now) >= s.lapses.Load() || s.snapshot.Generation != s.generation {
+		s.forfeits.Add(1) // what was counted beyond the part is nobody's now
 		return
 	}
 	for name, e := range *s.entries.Load() {
