sharer: add to a part what the census counted beyond it once the lease is good

Cause: a host whose lease has lapsed may have more of a level in use than it holds. The census counts the larger, and a taker in that state never raised its part to it. Now the difference is kept for each limit and added after the next renewal.

Conclusion: adding a difference is right whatever moved meanwhile; raising to an amount was not.

--- a/pkg/sharer/entry.go
+++ b/pkg/sharer/entry.go
@@ -30,6 +30,7 @@
 	limit    Limit
 	bucket   *limiter.Bucket
 	inUse    int64                   // units of a level in use; 0 for a rate
+	overhang int64                   // units that the epoch's census counted beyond the part, until they are added to it
 	given    map[tracker.HostID]sums // grows only, until the epoch or the total changes
 	taken    map[tracker.HostID]sums // likewise
 	demand   int64                   // average of what was asked for
@@ -128,23 +129,16 @@
 	return true
 }
 
-// raise lifts the part to at least an amount. No tokens come with it, but for
-// units of a level that are not in use.
-func (e *entry) raise(now time.Duration, least limiter.Amount) {
-	have := e.bucket.Amount()
-	missing := limiter.Amount{
-		Rate:     max(0, least.Rate-have.Rate),
-		Capacity: max(0, least.Capacity-have.Capacity),
-	}
-	if missing.IsZero() {
+// takeOverhang adds to the part what was counted beyond it. No tokens come with
+// it, but for units that are not in use any more.
+func (e *entry) takeOverhang(now time.Duration) {
+	if e.overhang == 0 {
 		return
 	}
-	tokens := int64(0)
-	if e.limit.kind == Level {
-		free := have.Capacity + missing.Capacity - e.inUse
-		tokens = max(0, free-e.bucket.Tokens(now))
-	}
-	e.bucket.Deposit(now, missing, tokens)
+	capacity := e.bucket.Amount().Capacity + e.overhang
+	tokens := max(0, capacity-e.inUse-e.bucket.Tokens(now))
+	e.bucket.Deposit(now, limiter.Amount{Capacity: e.overhang}, tokens)
+	e.overhang = 0
 }
 
 // share returns the part that fits an ask: what makes the two parts
@@ -237,6 +231,7 @@
 		Capacity: shrunk(have.Capacity, limit.total.Capacity, e.limit.total.Capacity),
 	}
 	e.cut(now, most)
+	e.overhang = 0
 	e.limit = limit
 	e.forget()
 }
--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -304,16 +304,15 @@
 		}
 		e.forget()
 		held := e.bucket.Amount()
-		held.Capacity = max(held.Capacity, e.inUse)
+		e.overhang = max(0, e.inUse-held.Capacity)
+		held.Capacity += e.overhang
 		e.mu.Unlock()
 		if !held.IsZero() {
 			report.Holdings[name] = held
 		}
 	}
 	s.snapshot = report
-	if s.confirmed {
-		s.matchReport(now)
-	}
+	s.takeOverhangs(now)
 }
 
 // renew moves the lease on from the time a proof of contact was sent. What
@@ -329,6 +328,15 @@
 	if lapses > s.lapses.Load() {
 		s.lapses.Store(lapses)
 	}
+	s.takeOverhangs(now)
+}
+
+func (s *Sharer) dropOverhangs() {
+	for _, e := range *s.entries.Load() {
+		e.mu.Lock()
+		e.overhang = 0
+		e.mu.Unlock()
+	}
 }
 
 func (s *Sharer) cutAll(now time.Duration) {
@@ -356,23 +364,23 @@
 	s.confirmed = true
 	if verdict.Way == CountedByFloor {
 		s.cutAll(now)
+		s.dropOverhangs()
 		// The floor was reserved in full, but less may be held.
 		s.forfeits.Add(1)
 		return
 	}
-	s.matchReport(now)
+	s.takeOverhangs(now)
 }
 
-// matchReport raises parts to what the census counted. A level of which more
-// was in use than held is counted as used, so the host may go on using as much.
-func (s *Sharer) matchReport(now time.Duration) {
-	if int64(now) >= s.lapses.Load() || s.snapshot.Generation != s.generation {
-		s.forfeits.Add(1) // what was counted beyond the part is nobody's now
+// takeOverhangs raises parts to what the census counted: more of a level may
+// have been in use than was held. It waits until the lease is good.
+func (s *Sharer) takeOverhangs(now time.Duration) {
+	if !s.confirmed || int64(now) >= s.lapses.Load() {
 		return
 	}
-	for name, e := range *s.entries.Load() {
+	for _, e := range *s.entries.Load() {
 		e.mu.Lock()
-		e.raise(now, s.snapshot.Holdings[name])
+		e.takeOverhang(now)
 		e.mu.Unlock()
 	}
 }
