--- /dev/null
+++ b/internal/server/host_test.go
@@ -0,0 +1,119 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"magnoliahill.example/magnoliahill/internal/keeper"
+	"magnoliahill.example/magnoliahill/internal/loader"
+	"magnoliahill.example/magnoliahill/internal/publisher"
+	"magnoliahill.example/magnoliahill/internal/server"
+	"magnoliahill.example/magnoliahill/internal/standin/platform"
+	"magnoliahill.example/magnoliahill/pkg/cataloger"
+)
+
+const testKey = "secret-key-of-the-test"
+
+// host is one running entry host with its platform and configuration.
+type host struct {
+	t        *testing.T
+	server   *server.Server
+	platform *platform.Platform
+	store    *keeper.Client
+	data     string
+	done     chan error
+}
+
+// start runs a host in front of backend servers at some addresses.
+func start(t *testing.T, service string, backends ...string) *host {
+	h := &host{t: t, platform: platform.New(), done: make(chan error, 1)}
+	ps := httptest.NewServer(h.platform)
+	t.Cleanup(ps.Close)
+	h.store = keeper.New(ps.URL)
+	for i, address := range backends {
+		service += fmt.Sprintf("\n  - {name: b%d, address: %q, zone: z, slots: 2}", i+1, address)
+	}
+	h.publish(map[string]string{
+		"topology.yaml": "kind: topology\nregions: [{name: r, zones: [z]}]",
+		"orders.yaml":   "kind: service\nservice: orders\n" + service,
+		"ledger.yaml":   "kind: service\nservice: ledger\nbackend-servers: [{address: \"127.0.0.1:1\", zone: z}]",
+		"w.yaml":        "kind: workspace\nworkspace: w\nservices: [orders]\nrate: 1000\nburst: 1000",
+		"keys.yaml":     "kind: keys\nkeys-of: w\nkeys: [{id: k, sha256: " + cataloger.HashKey(testKey).String() + "}]",
+	})
+	h.data = freeAddress(t)
+	settings, err := loader.Parse("h.yaml", []byte(fmt.Sprintf(`
+host: {name: h, zone: z}
+listen: {data: %q, control: %q}
+platform: {url: %q}
+shares: {borrow: 0s, rebalance: 20ms}
+membership: {heartbeat: 20ms, silence: 1s}
+lookup: {ttl: 10ms}
+stop: {quiet: 10ms}
+`, h.data, freeAddress(t), ps.URL)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h.server, err = server.New(settings); err != nil {
+		t.Fatal(err)
+	}
+	if err := h.server.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { h.done <- h.server.Run(context.Background()) }()
+	t.Cleanup(h.server.Kill)
+	h.awaitReady()
+	return h
+}
+
+const backendServers = "backend-servers:"
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (h *host) publish(files map[string]string) {
+	h.t.Helper()
+	edits := map[string]func([]byte) ([]byte, error){}
+	for name, text := range files {
+		edits[name] = publisher.Replace([]byte(text))
+	}
+	_, err := publisher.New(h.store).Publish(context.Background(), publisher.Change{Author: "test", Edits: edits})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+// awaitReady waits until the host admits a request: it has its configuration,
+// its part of the limits, and tokens in it.
+func (h *host) awaitReady() {
+	h.t.Helper()
+	for range 2000 {
+		if h.server.Ready() && h.server.Tokens("rate/w") > 100 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	h.t.Fatal("the host does not get ready")
+}
+
+// call sends a request to the service as a caller with the key.
+func (h *host) call(method, path, body string) (*http.Response, error) {
+	r, err := http.NewRequest(method, "http://"+h.data+path, strings.NewReader(body))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	r.Header.Set("Magnoliahill-Key", testKey)
+	r.Header.Set("Magnoliahill-Service", "orders")
+	return http.DefaultTransport.RoundTrip(r)
+}
--- /dev/null
+++ b/internal/server/outcome_test.go
@@ -0,0 +1,228 @@
+package server_test
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"magnoliahill.example/magnoliahill/pkg/marker"
+)
+
+// backendOf starts a backend server and returns its address.
+func backendOf(t *testing.T, handler http.HandlerFunc) string {
+	s := httptest.NewServer(handler)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func outcome(resp *http.Response) string {
+	return resp.Header.Get(marker.Outcome) + " " + resp.Header.Get(marker.Reason)
+}
+
+func TestOrderThatMayHaveRunIsNotRetried(t *testing.T) {
+	is := is.New(t)
+	var ran atomic.Int64
+	broken := func(http.ResponseWriter, *http.Request) {
+		ran.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	h := start(t, "retry-budget: 1\n"+backendServers, backendOf(t, broken), backendOf(t, broken))
+	resp, err := h.call(http.MethodPost, "/order", "brooms")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+	is.Equal(outcome(resp), "unknown connection-broken")
+	is.Equal(ran.Load(), int64(1))
+}
+
+func TestReadIsRetriedAtAnotherBackendServer(t *testing.T) {
+	is := is.New(t)
+	bad := backendOf(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	good := backendOf(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "42") })
+	h := start(t, "retry-budget: 1\n"+backendServers, bad, good)
+	for range 20 {
+		resp, err := h.call(http.MethodGet, "/stock", "")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+}
+
+func TestRetriesStayWithinTheirBudget(t *testing.T) {
+	is := is.New(t)
+	var tries atomic.Int64
+	bad := func(http.ResponseWriter, *http.Request) {
+		tries.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	h := start(t, "retry-budget: 0.1\n"+backendServers, backendOf(t, bad), backendOf(t, bad))
+	const sent = 40
+	for range sent {
+		_, err := h.call(http.MethodGet, "/stock", "")
+		is.NoErr(err)
+	}
+	is.True(tries.Load() <= sent+sent/10)
+}
+
+func TestShedOrderRunsOnceElsewhere(t *testing.T) {
+	is := is.New(t)
+	var ran atomic.Int64
+	full := backendOf(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(marker.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	free := backendOf(t, func(http.ResponseWriter, *http.Request) { ran.Add(1) })
+	h := start(t, "retry-budget: 1\n"+backendServers, full, free)
+	const orders = 10
+	for range orders {
+		resp, err := h.call(http.MethodPost, "/order", "brooms")
+		is.NoErr(err)
+		is.Equal(outcome(resp), "answered ")
+	}
+	is.Equal(ran.Load(), int64(orders))
+}
+
+func TestAnswerCutShortReachesTheCallerAsCutShort(t *testing.T) {
+	is := is.New(t)
+	h := start(t, backendServers, backendOf(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "half of ")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	resp, err := h.call(http.MethodGet, "/stock", "")
+	is.NoErr(err)
+	_, err = io.ReadAll(resp.Body)
+	is.True(err != nil) // never a clean end
+}
+
+func TestAnswerIsStreamed(t *testing.T) {
+	is := is.New(t)
+	more := make(chan struct{})
+	h := start(t, backendServers, backendOf(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "first\n")
+		_ = http.NewResponseController(w).Flush()
+		<-more
+		_, _ = io.WriteString(w, "second\n")
+	}))
+	resp, err := h.call(http.MethodGet, "/stock", "")
+	is.NoErr(err)
+	reader := bufio.NewReader(resp.Body)
+	line, err := reader.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "first\n") // before the backend server has sent the rest
+	close(more)
+	line, err = reader.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "second\n")
+}
+
+func TestTimeLimitPassesBeforeAndAfterDispatch(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	defer close(release)
+	h := start(t, "queue-timeout: 50ms\nrequest-timeout: 200ms\n"+backendServers,
+		backendOf(t, func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+		}))
+	results := make(chan string, 3)
+	for range 3 { // the backend server has two slots
+		go func() {
+			resp, err := h.call(http.MethodPost, "/order", "x")
+			if err != nil {
+				results <- err.Error()
+				return
+			}
+			results <- outcome(resp)
+		}()
+	}
+	got := map[string]int{}
+	for range 3 {
+		got[<-results]++
+	}
+	is.Equal(got["unknown deadline"], 2)      // it may have run
+	is.Equal(got["not-run queue-timeout"], 1) // never sent
+}
+
+func TestKeyWithdrawnWhileTheRequestWaits(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	started := make(chan struct{}, 10)
+	var ran atomic.Int64
+	h := start(t, backendServers, backendOf(t, func(http.ResponseWriter, *http.Request) {
+		ran.Add(1)
+		started <- struct{}{}
+		<-release
+	}))
+	results := make(chan string, 3)
+	send := func() {
+		resp, err := h.call(http.MethodPost, "/order", "x")
+		if err != nil {
+			results <- err.Error()
+			return
+		}
+		results <- outcome(resp)
+	}
+	go send()
+	go send()
+	<-started
+	<-started // both slots are taken
+	go send()
+	for h.server.Waiting("orders") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	h.publish(map[string]string{"keys.yaml": "kind: keys\nkeys-of: w\nkeys: []"})
+	for h.server.Generation() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	got := map[string]int{}
+	for range 3 {
+		got[<-results]++
+	}
+	is.Equal(got["answered "], 2)           // what ran is finished
+	is.Equal(got["not-run key-unknown"], 1) // what waited never runs
+	is.Equal(ran.Load(), int64(2))
+}
+
+// A planned stop finishes what runs and hands nothing to a closed door.
+func TestPlannedStopCutsOffNoRequest(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	h := start(t, backendServers, backendOf(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "first\n")
+		_ = http.NewResponseController(w).Flush()
+		<-release
+		_, _ = io.WriteString(w, "last\n")
+	}))
+	resp, err := h.call(http.MethodGet, "/stock", "")
+	is.NoErr(err)
+	reader := bufio.NewReader(resp.Body)
+	_, err = reader.ReadString('\n')
+	is.NoErr(err)
+	h.server.Stop()
+	for { // until the listener is closed
+		again, err := h.call(http.MethodGet, "/stock", "")
+		if err != nil {
+			break
+		}
+		_ = again.Body.Close()
+	}
+	select {
+	case <-h.done:
+		t.Fatal("the host stopped while a request ran")
+	default:
+	}
+	close(release)
+	line, err := reader.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "last\n")
+	is.NoErr(<-h.done)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,6 +23,7 @@
 	"magnoliahill.example/magnoliahill/internal/loader"
 	"magnoliahill.example/magnoliahill/internal/messenger"
 	"magnoliahill.example/magnoliahill/internal/recorder"
+	"magnoliahill.example/magnoliahill/pkg/limiter"
 	"magnoliahill.example/magnoliahill/pkg/sharer"
 	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
@@ -273,3 +274,27 @@
 func (s *Server) Ready() bool {
 	return s.snapshot.Load().phase == serving && s.sharer.Confirmed()
 }
+
+// Tokens returns the whole units of a limit that the host could use now.
+func (s *Server) Tokens(limit string) int64 {
+	_, tokens := s.sharer.Held(s.clock.Now(), limit)
+	return tokens / limiter.Unit
+}
+
+// Waiting returns the requests that wait for a place at a service.
+func (s *Server) Waiting(service string) int {
+	p := s.snapshot.Load().pools[service]
+	if p == nil {
+		return 0
+	}
+	return p.waiting()
+}
+
+// Generation returns the number of the configuration in force, or 0.
+func (s *Server) Generation() int64 {
+	catalog := s.snapshot.Load().catalog
+	if catalog == nil {
+		return 0
+	}
+	return catalog.Generation()
+}
--- /dev/null
+++ b/internal/watcher/watcher_test.go
@@ -0,0 +1,78 @@
+package watcher_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"magnoliahill.example/magnoliahill/internal/parser"
+	"magnoliahill.example/magnoliahill/internal/watcher"
+)
+
+func document(generation int64) parser.Document {
+	return parser.NewDocument("t.yaml", []byte(fmt.Sprintf("kind: topology\nregions: [{name: r%d, zones: [z]}]", generation)))
+}
+
+func headOf(generation int64) watcher.Head {
+	return watcher.Head{
+		Generation: generation, ChangeID: fmt.Sprint(generation),
+		Files: map[string]string{"t.yaml": document(generation).Hash()},
+	}
+}
+
+// Whatever comes in whatever order, the configuration in force only rises, and
+// the highest one gets into force once its files are there.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := watcher.New()
+		highest, inForce := int64(0), int64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			g := rapid.Int64Range(1, 9).Draw(t, "generation")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				w.Offer(headOf(g))
+				highest = max(highest, g)
+			case 1:
+				w.Provide(document(g).Hash(), document(g))
+			case 2: // a file that is not what it says
+				if w.Provide(document(g).Hash(), document(g+100)) {
+					t.Fatal("a wrong file was taken")
+				}
+			}
+			if _, err := w.Advance(); err != nil {
+				t.Fatal(err)
+			}
+			if w.Head().Generation < inForce {
+				t.Fatalf("generation %d after %d", w.Head().Generation, inForce)
+			}
+			inForce = w.Head().Generation
+		}
+		w.Provide(document(highest).Hash(), document(highest))
+		_, _ = w.Advance()
+		if highest > 0 && w.Catalog().Generation() != highest {
+			t.Fatalf("generation %d in force, %d was offered", w.Catalog().Generation(), highest)
+		}
+	})
+}
+
+func TestConfigurationThatDoesNotFitIsRefusedForGood(t *testing.T) {
+	is := is.New(t)
+	w := watcher.New()
+	bad := parser.NewDocument("w.yaml", []byte("kind: workspace\nworkspace: w\nservices: [none]\nrate: 1"))
+	head := watcher.Head{Generation: 2, Files: map[string]string{"w.yaml": bad.Hash()}}
+	w.Offer(headOf(1))
+	w.Provide(document(1).Hash(), document(1))
+	_, err := w.Advance()
+	is.NoErr(err)
+	w.Offer(head)
+	w.Provide(bad.Hash(), bad)
+	_, err = w.Advance()
+	is.True(err != nil)
+	w.Offer(head) // told again by another host
+	changed, err := w.Advance()
+	is.NoErr(err)
+	is.True(!changed)
+	is.Equal(w.Catalog().Generation(), int64(1))
+}
