mover: shift work between regions step by step under a cap

Cause: moves were checked as plans and nothing moved. The state of a move is one object; one host on duty steps it by conditional update after an interval from its own first sight of the version, while the promise holds; every host applies at most one step an interval of its own clock; a store outage holds everything.

Proof: a property test of four hosts that see the store late, race each other and operators, and directed tests. Taken out in turn, each caught: wait of the host, step of the host, wait of the stepper, gate; and for routing and configuration: headroom, leaving, higher generations, hashes, conflicts, lost replies. The first property test caught neither of the host's rules, since its moves hardly ever ran; it starts with a running move now.

Conclusion: the cap holds by each host's own clock, whatever the store says. A failover on top is bounded by headroom, not by the move's cap: not built.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -108,6 +108,7 @@
 var groups = map[string]string{
 	"key":     "Issue, withdraw and list keys",
 	"host":    "Act on entry hosts",
+	"move":    "Start, pause, abort and list planned moves",
 	"standin": "Run stand-ins for outside systems",
 }
 
--- /dev/null
+++ b/internal/commander/move.go
@@ -0,0 +1,182 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"magnoliahill.example/magnoliahill/internal/charter"
+	"magnoliahill.example/magnoliahill/internal/keeper"
+	"magnoliahill.example/magnoliahill/internal/parser"
+	"magnoliahill.example/magnoliahill/internal/publisher"
+	"magnoliahill.example/magnoliahill/pkg/cataloger"
+	"magnoliahill.example/magnoliahill/pkg/mover"
+)
+
+func init() {
+	for _, trigger := range []string{mover.Start, mover.Pause, mover.Abort} {
+		register("move "+trigger, moveTexts[trigger], moveTexts[trigger]+". Exits with 3 when someone else changed the move meanwhile.",
+			func(out *output) command { return &moveTriggerCommand{out: out, trigger: trigger} })
+	}
+	register("move list", "List the planned moves",
+		"Lists the planned moves with their states and how much is moved. A move is planned by publishing a file of kind move.",
+		func(out *output) command { return &moveListCommand{out: out} })
+}
+
+var moveTexts = map[string]string{
+	mover.Start: "Start a planned move, or go on with a paused one",
+	mover.Pause: "Hold a move where it is",
+	mover.Abort: "Take a move back, step by step",
+}
+
+type moveTriggerCommand struct {
+	platformOptions
+	out     *output
+	trigger string
+	Author  string `long:"author" description:"who does it (default: the system user)"`
+	Args    struct {
+		Move string `positional-arg-name:"MOVE" required:"true"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute implements command.
+func (c *moveTriggerCommand) Execute([]string) error {
+	ctx := context.Background()
+	store := c.store()
+	if _, err := plannedMove(ctx, store, c.Args.Move); err != nil {
+		return failed(ExitUsage, err)
+	}
+	chart := charter.MustLoad("move")
+	record, version, err := readMove(ctx, store, chart, c.Args.Move)
+	if err != nil {
+		return err
+	}
+	next, err := record.Fire(chart, c.trigger, author(c.Author))
+	if err != nil {
+		return failed(ExitConflict, err)
+	}
+	data, err := next.Encode()
+	if err != nil {
+		return err
+	}
+	if _, err := store.Put(ctx, mover.Key(c.Args.Move), data, version); err != nil {
+		return c.settle(ctx, store, chart, next, err)
+	}
+	return c.done(next)
+}
+
+func (c *moveTriggerCommand) done(r mover.Record) error {
+	_, _ = fmt.Fprintf(c.out.stdout, "move %s is %s\n", r.Move, r.State)
+	return nil
+}
+
+// settle finds out what became of a write that failed.
+func (c *moveTriggerCommand) settle(ctx context.Context, store *keeper.Client, chart *charter.Chart, wanted mover.Record, failure error) error {
+	if !errors.Is(failure, keeper.ErrConflict) && !errors.Is(failure, keeper.ErrUnsettled) {
+		return failure
+	}
+	now, _, err := readMove(ctx, store, chart, wanted.Move)
+	if err != nil {
+		return err
+	}
+	if now == wanted && errors.Is(failure, keeper.ErrUnsettled) {
+		return c.done(now)
+	}
+	return failed(ExitConflict, errors.Errorf("move %q was changed meanwhile: it is %s since %s by %q",
+		now.Move, now.State, now.Change, now.Author))
+}
+
+// readMove returns a move's record, or that of one that has not started.
+func readMove(ctx context.Context, store keeper.Store, chart *charter.Chart, name string) (mover.Record, int64, error) {
+	object, err := store.Get(ctx, mover.Key(name))
+	if errors.Is(err, keeper.ErrNotFound) {
+		return mover.New(name, string(chart.Initial())), 0, nil
+	}
+	if err != nil {
+		return mover.Record{}, 0, err
+	}
+	record, err := mover.Decode(object.Value())
+	return record, object.Version(), err
+}
+
+// plannedMoves returns the moves in the configuration in force.
+func plannedMoves(ctx context.Context, store keeper.Store) ([]*cataloger.Move, error) {
+	p := publisher.New(store)
+	head, _, err := p.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	docs, err := p.Files(ctx, head)
+	if err != nil {
+		return nil, err
+	}
+	var moves []*cataloger.Move
+	for _, name := range head.Names() {
+		parts, err := parser.Parse(docs[name])
+		if err != nil {
+			return nil, err
+		}
+		moves = append(moves, parts.Moves...)
+	}
+	return moves, nil
+}
+
+func plannedMove(ctx context.Context, store keeper.Store, name string) (*cataloger.Move, error) {
+	moves, err := plannedMoves(ctx, store)
+	if err != nil {
+		return nil, err
+	}
+	for _, move := range moves {
+		if move.Name() == name {
+			return move, nil
+		}
+	}
+	return nil, errors.Errorf("move %q is not planned: publish a file of kind move first", name)
+}
+
+type moveListCommand struct {
+	platformOptions
+	formOptions
+	out *output
+}
+
+// listedMove is one move in the output.
+type listedMove struct {
+	Move     string
+	Service  string
+	From, To string
+	State    string
+	Share    float64
+	Author   string
+}
+
+// Execute implements command.
+func (c *moveListCommand) Execute([]string) error {
+	ctx := context.Background()
+	store := c.store()
+	moves, err := plannedMoves(ctx, store)
+	if err != nil {
+		return err
+	}
+	list := []listedMove{}
+	for _, move := range moves {
+		record, _, err := readMove(ctx, store, charter.MustLoad("move"), move.Name())
+		if err != nil {
+			return err
+		}
+		list = append(list, listedMove{
+			Move: move.Name(), Service: move.Service(), From: move.From(), To: move.To(),
+			State: record.State, Share: float64(record.SharePPM) / mover.Million, Author: record.Author,
+		})
+	}
+	return c.write(c.out, list, func() error {
+		t := tabwriter.NewWriter(c.out.stdout, 0, 8, 2, ' ', 0)
+		_, _ = fmt.Fprintln(t, "move\tservice\tfrom\tto\tstate\tmoved\tlast change by")
+		for _, m := range list {
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%.1f%%\t%s\n", m.Move, m.Service, m.From, m.To, m.State, 100*m.Share, m.Author)
+		}
+		return t.Flush()
+	})
+}
--- a/internal/demonstrator/scene.go
+++ b/internal/demonstrator/scene.go
@@ -8,8 +8,11 @@
 
 	"github.com/pkg/errors"
 
+	"magnoliahill.example/magnoliahill/internal/charter"
+	"magnoliahill.example/magnoliahill/internal/publisher"
 	"magnoliahill.example/magnoliahill/pkg/caller"
 	"magnoliahill.example/magnoliahill/pkg/marker"
+	"magnoliahill.example/magnoliahill/pkg/mover"
 )
 
 // scene is one situation that the fleet is put into.
@@ -27,6 +30,7 @@
 	{name: "tenant at 5 times its rate", run: sceneTenant},
 	{name: "zone cut off, then healed", run: sceneCut},
 	{name: "store out, then back", run: sceneStore},
+	{name: "planned move", run: sceneMove},
 	{name: "region fails", run: sceneRegion},
 }
 
@@ -172,6 +176,79 @@
 	return "store out for 5 s", rest(ctx, 2*time.Second)
 }
 
+const (
+	moveStep     = 0.25
+	moveInterval = time.Second
+)
+
+// sceneMove shifts the first service's work from the first region to the second
+// and checks that no interval moved more than the cap.
+func sceneMove(ctx context.Context, d *demo) (string, error) {
+	layout := d.fleet.layout
+	service := layout.services[0].name
+	file := fmt.Sprintf("kind: move\nmove: shift\nservice: %s\nfrom: %s\nto: %s\nstep: %g\ninterval: %s\npromise: 1s\n",
+		service, layout.regions[0], layout.regions[1], moveStep, moveInterval)
+	_, err := publisher.New(d.fleet.store).Publish(ctx, publisher.Change{
+		Author: "demo", Edits: map[string]func([]byte) ([]byte, error){"shift.yaml": publisher.Replace([]byte(file))},
+	})
+	if err != nil {
+		return "", err
+	}
+	began := time.Now()
+	record, err := mover.New("shift", "planned").Fire(charter.MustLoad("move"), mover.Start, "demo")
+	if err != nil {
+		return "", err
+	}
+	if err := d.putMove(ctx, record); err != nil {
+		return "", err
+	}
+	return d.watchMove(ctx, began)
+}
+
+func (d *demo) putMove(ctx context.Context, record mover.Record) error {
+	data, err := record.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = d.fleet.store.Put(ctx, mover.Key(record.Move), data, 0)
+	return err
+}
+
+// watchMove follows the move to its end and checks the times of its steps.
+func (d *demo) watchMove(ctx context.Context, began time.Time) (string, error) {
+	steps := 0
+	share := int64(0)
+	last := began
+	for time.Since(began) < 3*time.Duration(1/moveStep)*moveInterval {
+		object, err := d.fleet.store.Get(ctx, mover.Key("shift"))
+		if err != nil {
+			return "", err
+		}
+		record, err := mover.Decode(object.Value())
+		if err != nil {
+			return "", err
+		}
+		if record.SharePPM != share {
+			steps++
+			if grown := record.SharePPM - share; grown > moveStep*mover.Million {
+				d.fail(fmt.Sprintf("move grew by %d millionths in one step", grown))
+			}
+			if since := time.Since(last); steps > 1 && since < moveInterval-100*time.Millisecond {
+				d.fail(fmt.Sprintf("move took two steps within %v", since))
+			}
+			share, last = record.SharePPM, time.Now()
+		}
+		if record.State == "finished" {
+			return fmt.Sprintf("moved in %d steps, %d ms", steps, time.Since(began).Milliseconds()), rest(ctx, moveInterval)
+		}
+		if err := rest(ctx, 20*time.Millisecond); err != nil {
+			return "", err
+		}
+	}
+	d.fail("the move did not finish")
+	return "not finished", nil
+}
+
 func sceneRegion(ctx context.Context, d *demo) (string, error) {
 	region := d.fleet.layout.regions[len(d.fleet.layout.regions)-1]
 	for _, host := range d.fleet.liveHosts() {
--- a/internal/estimator/role.go
+++ b/internal/estimator/role.go
@@ -22,6 +22,7 @@
 	asksContended  = 2.0   // asks a second for each of them, see docs/MEASUREMENTS.md
 	viewChanges    = 3.0   // changes of the live hosts for one restart
 	exchangePeers  = 3.0   // peers of one heartbeat with partial exchange, both sides' together
+	moveReads      = 2.0   // reads of a running move's record a second, one move running
 	dutyHosts      = 2.0   // hosts of a zone that speak to other zones
 	partialBeats   = 1.0   // partial exchanges a second
 	relayedReads   = 0.02  // roster reads a second and zone, with relays
@@ -47,7 +48,14 @@
 		shares(s, z, perZone, relayedReads, z.Zones*relayedReads,
 			"a roster for each zone and one of zones, read by two hosts and relayed", "rosters in two levels"),
 		asks(s, z),
-		{Role: "moves", Mechanism: "plan in the configuration; steps not built", Missing: "moves"},
+		{
+			Role: "moves", Mechanism: "every daemon reads the record of each running move",
+			Network: moveReads * 500, Core: moveReads * 60e3 / nanoPerCore, Store: z.Daemons * moveReads,
+		},
+		{
+			Role: "moves", Mechanism: "two daemons of a zone read it and tell the others", Missing: "relayed records",
+			Network: moveReads * 500 * watchersZone / perZone, Store: z.Zones * watchersZone * moveReads,
+		},
 		{Role: "probes", Mechanism: "only ejected backend servers, by the host that ejected them", Network: 2 * 300, Core: 2 * 50e3 / nanoPerCore},
 		{Role: "time line", Mechanism: "ring in each daemon, read when asked for", Memory: eventBytes * eventsKept},
 		{Role: "reports", Mechanism: "histogram for each active workspace", Memory: histogramBytes * activeHere},
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -54,6 +54,7 @@
 	borrower     *borrower
 	requestChart *charter.Chart
 	backendChart *charter.Chart
+	moveChart    *charter.Chart
 	loop         *loop
 	auditor      Auditor // nil outside tests and demonstrations
 
@@ -132,6 +133,9 @@
 	if s.backendChart, err = charter.Load("backend"); err != nil {
 		return nil, err
 	}
+	if s.moveChart, err = charter.Load("move"); err != nil {
+		return nil, err
+	}
 	if s.loop, err = newLoop(s); err != nil {
 		return nil, err
 	}
--- a/internal/server/worker.go
+++ b/internal/server/worker.go
@@ -29,6 +29,7 @@
 	go s.watchStore(ctx)
 	go s.pollHosts(ctx)
 	go s.every(ctx, s.settings.Shares().Rebalance(), s.borrower.rebalance)
+	go s.every(ctx, movePoll, newMoveWorker(s).poll)
 	go s.every(ctx, probeEvery, func() { s.probeEjected(ctx) })
 }
 
@@ -122,13 +123,19 @@
 	base
 	duty  string
 	hosts int
+	fleet bool // among all hosts, not only those of the zone
 	holds bool
 }
 
 func (m *dutyAsked) apply(l *loop, now time.Duration) {
+	live := l.tracker.Live(now)
+	if m.fleet {
+		m.holds = tracker.Holds(m.duty, live, l.server.id.Name, m.hosts)
+		return
+	}
 	zone := l.server.settings.Host().Zone()
 	var near []tracker.Host
-	for _, host := range l.tracker.Live(now) {
+	for _, host := range live {
 		if host.Zone == zone {
 			near = append(near, host)
 		}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -35,6 +35,7 @@
 
 type zone struct {
 	name     string
+	region   string
 	limit    string // name of the shared headroom
 	distance time.Duration
 	targets  []*Target
@@ -47,6 +48,8 @@
 	from      string // zone of the host
 	coldStart time.Duration
 	zones     []*zone // nearest first
+	shift     Shift
+	shifted   []*zone // the zones of the region that takes the shift first, then as in zones
 	chart     Chart
 	headroom  Headroom
 	random    *rand.Rand
@@ -93,6 +96,7 @@
 		if z == nil {
 			z = &zone{
 				name:     server.Zone(),
+				region:   catalog.RegionOf(server.Zone()),
 				limit:    LimitName(service.Name(), server.Zone()),
 				distance: catalog.Distance(r.from, server.Zone()),
 			}
@@ -107,6 +111,57 @@
 		}
 		return r.zones[i].name < r.zones[j].name
 	})
+	r.reorder()
+}
+
+// Shift is the share of a region's work that goes to another region first.
+type Shift struct {
+	From, To string // regions; "" for no shift
+	PPM      int64  // share in millionths
+}
+
+// SetShift sets the shift that a planned move wants now.
+func (r *Router) SetShift(shift Shift) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shift = shift
+	r.reorder()
+}
+
+func (r *Router) reorder() {
+	r.shifted = append([]*zone(nil), r.zones...)
+	sort.SliceStable(r.shifted, func(i, j int) bool {
+		return r.shifted[i].region == r.shift.To && r.shifted[j].region != r.shift.To
+	})
+}
+
+// order returns the zones in the order to try for one request.
+func (r *Router) order() []*zone {
+	if r.shift.PPM == 0 || len(r.zones) == 0 || r.zones[0].region != r.shift.From {
+		return r.zones
+	}
+	if r.random.Int64N(million) < r.shift.PPM {
+		return r.shifted
+	}
+	return r.zones
+}
+
+const million = 1_000_000
+
+// LatencyIn returns the longest average latency of a region's backend servers.
+func (r *Router) LatencyIn(region string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	longest := time.Duration(0)
+	for _, z := range r.zones {
+		if z.region != region {
+			continue
+		}
+		for _, t := range z.targets {
+			longest = max(longest, t.latency)
+		}
+	}
+	return longest
 }
 
 // targets returns all targets by address. The caller holds the lock.
@@ -155,7 +210,7 @@
 func (r *Router) Pick(now time.Duration, tried []string) (Pick, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, z := range r.zones {
+	for _, z := range r.order() {
 		target := r.better(now, z, tried)
 		if target == nil || !r.headroom.Take(now, z.limit, 1) {
 			continue
