demonstrator: log requests that fail or may have run

Cause: one order of 1,965 in the planned move of one demo had an unknown outcome and nothing told why. The log names the next one. Before: a count. After: a line with path, workspace and error.

--- a/internal/demonstrator/traffic.go
+++ b/internal/demonstrator/traffic.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"magnoliahill.example/magnoliahill/pkg/caller"
 	"magnoliahill.example/magnoliahill/pkg/marker"
@@ -124,8 +125,10 @@
 	case errors.Is(err, caller.ErrUnknown):
 		o.unknown = true
 		o.error = err.Error()
+		klog.InfoS("request may or may not have run", "path", r.Path, "workspace", w.name, "err", err)
 	case err != nil:
 		o.error = err.Error()
+		klog.InfoS("request failed", "path", r.Path, "workspace", w.name, "err", err)
 	case answer.Outcome == marker.OutcomeAnswered:
 		o.answered = answer.Status < http.StatusInternalServerError
 		t.checkAnswer(w, r, answer)
