server: count the key lease from what the store said

After: answers carry the age of the store's word, counted from when the question was sent; a quiet watch confirms. The default, no lease, is unchanged. Conclusion: an age that travels with the answer is bounded without clocks that agree.

--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -34,14 +34,25 @@
 // headSeen is a configuration head read from the store.
 type headSeen struct {
 	head watcher.Head
+	sent time.Duration // when the reading began
 }
 
 func (m *headSeen) apply(l *loop, now time.Duration) {
 	l.storeAnswered(now, nil)
-	l.server.configNews.Store(int64(now))
+	l.confirmConfig(m.sent)
 	l.offerHead(m.head)
 }
 
+// headUnchanged is a watch that ended without a change.
+type headUnchanged struct {
+	sent time.Duration
+}
+
+func (m *headUnchanged) apply(l *loop, now time.Duration) {
+	l.storeAnswered(now, nil)
+	l.confirmConfig(m.sent)
+}
+
 // storeFailed is a call to the store that did not succeed.
 type storeFailed struct {
 	err error
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -135,8 +135,8 @@
 		Way:   sharer.Way(resp.GetVerdict()),
 	})
 	l.server.sharer.Heard(now, m.sent, messenger.DecodeID(resp.GetFrom()), resp.GetEpoch())
-	if resp.GetGeneration() >= l.watcher.Head().Generation {
-		l.server.configNews.Store(int64(now))
+	if resp.GetGeneration() == l.watcher.Head().Generation && resp.GetConfigAgeMs() >= 0 {
+		l.confirmConfig(m.sent - time.Duration(resp.GetConfigAgeMs()+1)*time.Millisecond)
 	}
 	// Tell at once what the other side turned out to lack.
 	if l.lacks(told) {
@@ -162,6 +162,23 @@
 	l.advance()
 }
 
+// confirmConfig records that the store had no later configuration at a time.
+func (l *loop) confirmConfig(at time.Duration) {
+	if int64(at) > l.server.configNews.Load() {
+		l.server.configNews.Store(int64(at))
+	}
+}
+
+// configAge returns for how many milliseconds the configuration has not been
+// confirmed by the store, or -1 when it never was.
+func (l *loop) configAge(now time.Duration) int64 {
+	news := time.Duration(l.server.configNews.Load())
+	if news == 0 {
+		return -1
+	}
+	return (now - news).Milliseconds()
+}
+
 // received is an exchange that another host began.
 type received struct {
 	base
@@ -188,6 +205,8 @@
 		Stamp:      messenger.EncodeStamp(l.server.recorder.TimeLine().Clock().Now()),
 		Generation: head.Generation,
 		Epoch:      roster.Epoch,
+
+		ConfigAgeMs: l.configAge(now),
 	}
 	m.resp.Beats, m.resp.Pulses, m.resp.Digest = l.news(now, req.GetDigest())
 	if req.GetGeneration() < head.Generation {
--- a/internal/server/worker.go
+++ b/internal/server/worker.go
@@ -81,15 +81,17 @@
 			}
 			continue
 		}
+		sent := s.clock.Now()
 		object, err := s.store.Watch(ctx, watcher.HeadKey, version)
 		switch {
 		case err == nil:
 			failures = 0
 			version = object.Version()
-			s.sendHead(object)
+			s.sendHead(object, sent)
 			continue
 		case errors.Is(err, keeper.ErrUnchanged):
 			failures = 0
+			s.loop.send(&headUnchanged{sent: sent})
 			continue
 		}
 		s.loop.send(&storeFailed{err: err})
@@ -100,13 +102,13 @@
 	}
 }
 
-func (s *Server) sendHead(object keeper.Object) {
+func (s *Server) sendHead(object keeper.Object, sent time.Duration) {
 	head, err := watcher.DecodeHead(object.Value())
 	if err != nil {
 		s.loop.send(&storeFailed{err: err})
 		return
 	}
-	s.loop.send(&headSeen{head: head})
+	s.loop.send(&headSeen{head: head, sent: sent})
 }
 
 // watches reports whether this host is to wait on the store.
