caller: return the refusal when every host refuses

Cause: six refusals in a row left neither an answer nor an error, and the demo crashed on it. Before: Do returned nil, nil. Conclusion: found by the demo after hosts without a part of the limits began to refuse at once.

--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -95,7 +95,10 @@
 // ends. The error is ErrUnknown when the request must not be sent again and it
 // is not known whether it ran.
 func (c *Caller) Do(ctx context.Context, r Request) (*Answer, error) {
-	var last error
+	var (
+		last    error
+		refused *Answer
+	)
 	for try := 1; try <= maxTries; try++ {
 		host, err := c.directory.pick(ctx, try)
 		if err != nil {
@@ -107,8 +110,9 @@
 			answer.Tries = try
 			return answer, unknown(answer, r.Method)
 		case err == nil:
+			answer.Tries = try
+			refused = answer
 			if again, failed := c.again(ctx, host, answer); !again {
-				answer.Tries = try
 				return answer, failed
 			}
 		case errors.Is(err, forwarder.ErrNotRun) || safe(r.Method):
@@ -121,6 +125,9 @@
 			return nil, ctx.Err()
 		}
 	}
+	if refused != nil {
+		return refused, nil
+	}
 	return nil, errors.Wrapf(last, "no answer after %d tries", maxTries)
 }
 
