sharer: grant nothing for an ask that comes again

Cause: an ask that was doubled on its way was granted twice; the first answer settled it, and when the second got lost nobody asked for what it told. Before: ends with 41 of 50 units of a burst, without anybody knowing of a loss. Ruled out by the trace: forfeits (all before the last census) and the census itself (its sum was 50). Conclusion: sums make a doubled answer harmless, ids make a doubled ask so.

--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -32,6 +32,7 @@
 	contacts   map[tracker.HostID]time.Duration
 	debts      map[debt]request // asks of the present epoch without an answer
 	hints      map[debt]hint    // of the present epoch
+	answered   map[debt]uint64  // highest ask answered, by who asked, of the present epoch
 	asked      uint64           // id of the last ask
 	retired    bool             // holds nothing any more, for good
 	lost       int64            // messages that had no effect because of their epoch or total
@@ -47,7 +48,7 @@
 
 // New returns a sharer that holds nothing.
 func New(self tracker.HostID, options ...Option) *Sharer {
-	s := &Sharer{self: self, lease: DefaultLease, contacts: map[tracker.HostID]time.Duration{}, debts: map[debt]request{}, hints: map[debt]hint{}}
+	s := &Sharer{self: self, lease: DefaultLease, contacts: map[tracker.HostID]time.Duration{}, debts: map[debt]request{}, hints: map[debt]hint{}, answered: map[debt]uint64{}}
 	for _, option := range options {
 		option(s)
 	}
@@ -184,6 +185,9 @@
 
 func (s *Sharer) floorOf(e *entry) limiter.Amount { return s.me.Load().floorOf(e.limit) }
 
+// Member reports whether the host is a member and may hold parts of limits.
+func (s *Sharer) Member() bool { return s.me.Load().ID == s.self }
+
 // Tick records that the host's control loop runs. A host whose loop stood still
 // for a lease was paused and may have been replaced meanwhile: it keeps nothing.
 func (s *Sharer) Tick(now time.Duration) {
@@ -291,6 +295,7 @@
 	s.contacts = map[tracker.HostID]time.Duration{}
 	s.debts = map[debt]request{}
 	s.hints = map[debt]hint{}
+	s.answered = map[debt]uint64{}
 	s.confirmed = s.roster.Taker == s.self
 	report := Report{
 		Message:    Message{From: s.self, To: s.roster.Taker, Epoch: s.roster.Epoch},
--- a/pkg/sharer/transfer.go
+++ b/pkg/sharer/transfer.go
@@ -161,7 +161,16 @@
 		return Transfer{}, false
 	}
 	s.checkLease(now, e)
-	part, tokens := e.share(now, ask, asker.base(e.limit), s.me.Load().base(e.limit))
+	var (
+		part   limiter.Amount
+		tokens int64
+	)
+	// An ask that comes again grants nothing: its first answer may have settled
+	// it already, and nobody would ask for what only the second one tells.
+	if from := (debt{to: ask.From, limit: ask.Limit}); ask.ID > s.answered[from] {
+		s.answered[from] = ask.ID
+		part, tokens = e.share(now, ask, asker.base(e.limit), s.me.Load().base(e.limit))
+	}
 	total := e.give(now, ask.From, part, tokens)
 	return Transfer{
 		Message: Message{From: s.self, To: ask.From, Epoch: s.roster.Epoch},
