server: look at what is due five times a second

Cause: control work ran once a heartbeat, which had become 1 s, so a fresh pair of hosts took over a second to have parts of limits and told callers that their workspace was over its rate. Exchanges stay one a heartbeat; failed ones too. A host that is no member yet says so and names another reason. Conclusion: a newcomer's first request can still be refused in the first second or so, while tokens fill from zero.

--- a/internal/server/data.go
+++ b/internal/server/data.go
@@ -167,6 +167,9 @@
 		return a, refusal
 	}
 	if grant := a.Grant(); grant != nil {
+		if !s.sharer.Member() {
+			return a, unavailable(marker.ReasonNoConfig, "the host has no part of the limits yet", time.Second)
+		}
 		return a, s.charge(ctx, grant)
 	}
 	return a, nil
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -39,8 +39,10 @@
 	told, known := l.told[address]
 	heartbeat := l.server.settings.Membership().Heartbeat()
 	switch {
-	case !known || now-told.spoken > heartbeat*3/4:
+	case !known || now-told.spoken >= heartbeat:
 		return true
+	case told.failed:
+		return false
 	case now-told.asked > l.server.settings.Shares().Lease()/4:
 		return true
 	}
@@ -120,7 +122,7 @@
 func (m *exchanged) apply(l *loop, now time.Duration) {
 	delete(l.busy, m.address)
 	if m.err != nil {
-		delete(l.told, m.address)
+		l.told[m.address] = peerKnowledge{spoken: now, asked: l.told[m.address].asked, failed: true}
 		return
 	}
 	resp := m.resp
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -14,7 +14,10 @@
 	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
 
-const inboxSize = 256 // messages waiting for the loop
+const (
+	inboxSize   = 256                    // messages waiting for the loop
+	controlTick = 200 * time.Millisecond // between two looks at what is due
+)
 
 // loop owns the control state of a daemon. Only its own goroutine touches the
 // fields; others send it messages.
@@ -45,6 +48,7 @@
 	digest     uint64        // of the hosts it knows; 0 when not known
 	spoken     time.Duration // end of the last exchange with it, in either direction
 	asked      time.Duration // beginning of the last own exchange with it
+	failed     bool          // the last own exchange failed; the rest is not known
 }
 
 // message is one input of the loop.
@@ -100,7 +104,7 @@
 }
 
 func (l *loop) run(ctx context.Context) {
-	ticker := time.NewTicker(l.server.settings.Membership().Heartbeat())
+	ticker := time.NewTicker(min(controlTick, l.server.settings.Membership().Heartbeat()))
 	defer ticker.Stop()
 	l.tick(l.server.clock.Now())
 	for {
