admitter: refuse keys with characters that no key has

Cause: fuzzing the stripping of keys found one made of a separator: a key such as 'a&b' stands in a query in two parameters and was not found there. Keys that are issued have letters and digits only, so such a key is never in force, but it would have gone on to nobody's use on open routes. Conclusion: what may be a key is now said in one place.

--- a/internal/admitter/key.go
+++ b/internal/admitter/key.go
@@ -33,12 +33,29 @@
 	if len(key) > maxKeyLength {
 		return "", NotRun(http.StatusBadRequest, marker.ReasonBadRequest, "the key is too long", 0)
 	}
+	if key != "" && !ValidKey(key) {
+		return "", NotRun(http.StatusBadRequest, marker.ReasonBadRequest, "the key has characters that no key has", 0)
+	}
 	if key != "" && strings.Contains(r.URL.Path, key) {
 		return "", NotRun(http.StatusBadRequest, marker.ReasonBadRequest, "the key stands in the path", 0)
 	}
 	return key, nil
 }
 
+// ValidKey reports whether a text has only characters that keys are made of:
+// letters, digits and "-._~". A key with separators in it could stand in a
+// query or cookie in pieces, and would not be found there.
+func ValidKey(key string) bool {
+	for _, r := range key {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		digit := r >= '0' && r <= '9'
+		if !letter && !digit && !strings.ContainsRune("-._~", r) {
+			return false
+		}
+	}
+	return key != ""
+}
+
 func twoKeys() *Refusal {
 	return NotRun(http.StatusBadRequest, marker.ReasonBadRequest, "the request carries more than one key", 0)
 }
