--- a/internal/server/host_test.go
+++ b/internal/server/host_test.go
@@ -32,6 +32,11 @@
 
 // start runs a host in front of backend servers at some addresses.
 func start(t testing.TB, service string, backends ...string) *host {
+	return startWith(t, "idle-timeout: 1m", service, backends...)
+}
+
+// startWith is start with fields of the settings section for listeners.
+func startWith(t testing.TB, listen, service string, backends ...string) *host {
 	h := &host{t: t, platform: platform.New(), done: make(chan error, 1)}
 	ps := httptest.NewServer(h.platform)
 	t.Cleanup(ps.Close)
@@ -53,13 +58,13 @@
 	h.data = freeAddress(t)
 	settings, err := loader.Parse("h.yaml", []byte(fmt.Sprintf(`
 host: {name: h, zone: z}
-listen: {data: %q, control: %q}
+listen: {data: %q, control: %q, %s}
 platform: {url: %q}
 shares: {borrow: 0s, rebalance: 20ms}
 membership: {heartbeat: 20ms, silence: 1s}
 lookup: {ttl: 10ms}
 stop: {quiet: 10ms}
-`, h.data, freeAddress(t), ps.URL)))
+`, h.data, freeAddress(t), listen, ps.URL)))
 	if err != nil {
 		t.Fatal(err)
 	}
