--- /dev/null
+++ b/internal/clocker/sleep.go
@@ -0,0 +1,18 @@
+package clocker
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits, or returns the context's error when that ends first.
+func Sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/commander/wait.go
+++ b/internal/commander/wait.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"magnoliahill.example/magnoliahill/internal/clocker"
 )
 
 const (
@@ -40,7 +42,7 @@
 			said = time.Now()
 			_, _ = fmt.Fprintf(out.stderr, "waiting for %d hosts\n", len(pending))
 		}
-		if err := sleep(ctx, waitPoll); err != nil {
+		if err := clocker.Sleep(ctx, waitPoll); err != nil {
 			return err
 		}
 	}
@@ -60,14 +62,3 @@
 	sort.Strings(pending)
 	return pending
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/demonstrator/demo.go
+++ b/internal/demonstrator/demo.go
@@ -6,6 +6,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"magnoliahill.example/magnoliahill/internal/clocker"
 )
 
 // demo is one demonstration.
@@ -44,7 +46,7 @@
 	result := &Result{Layout: layout.name}
 	// The first second fills connections and moves parts to where demand is.
 	d.traffic.scene.Store(-1)
-	if err := rest(ctx, time.Second); err != nil {
+	if err := clocker.Sleep(ctx, time.Second); err != nil {
 		return nil, err
 	}
 	notes := make([]string, len(scenes))
--- a/internal/demonstrator/scene.go
+++ b/internal/demonstrator/scene.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"magnoliahill.example/magnoliahill/internal/charter"
+	"magnoliahill.example/magnoliahill/internal/clocker"
 	"magnoliahill.example/magnoliahill/internal/publisher"
 	"magnoliahill.example/magnoliahill/pkg/caller"
 	"magnoliahill.example/magnoliahill/pkg/marker"
@@ -36,19 +37,8 @@
 
 const sceneTime = 3 * time.Second
 
-func rest(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 func sceneCalm(ctx context.Context, _ *demo) (string, error) {
-	return "", rest(ctx, sceneTime)
+	return "", clocker.Sleep(ctx, sceneTime)
 }
 
 // sceneKey withdraws a key that is in use and measures until its last request
@@ -59,7 +49,7 @@
 	withdrawn := make(chan time.Time, 1)
 	last := make(chan time.Time, 1)
 	go d.useKey(ctx, w, d.fleet.keys[w][id], last)
-	if err := rest(ctx, time.Second); err != nil {
+	if err := clocker.Sleep(ctx, time.Second); err != nil {
 		return "", err
 	}
 	if err := d.fleet.withdraw(ctx, w, id); err != nil {
@@ -72,7 +62,7 @@
 	if took > 2*time.Second {
 		d.fail(fmt.Sprintf("a withdrawn key ran a request %v later", took))
 	}
-	return fmt.Sprintf("last request %d ms after the withdrawal", max(0, took.Milliseconds())), rest(ctx, sceneTime-time.Second)
+	return fmt.Sprintf("last request %d ms after the withdrawal", max(0, took.Milliseconds())), clocker.Sleep(ctx, sceneTime-time.Second)
 }
 
 // useKey sends requests with a key through every host for a while, and tells
@@ -112,7 +102,7 @@
 	before := t.backend.Executed()
 	lastNew := at
 	for time.Since(at) < sceneTime {
-		if err := rest(ctx, 20*time.Millisecond); err != nil {
+		if err := clocker.Sleep(ctx, 20*time.Millisecond); err != nil {
 			return "", err
 		}
 		if now := t.backend.Executed(); now != before {
@@ -136,7 +126,7 @@
 	began := time.Now()
 	d.fleet.stopHost(host)
 	took := time.Since(began)
-	return fmt.Sprintf("%s stopped in %d ms", host.name, took.Milliseconds()), rest(ctx, time.Second)
+	return fmt.Sprintf("%s stopped in %d ms", host.name, took.Milliseconds()), clocker.Sleep(ctx, time.Second)
 }
 
 func sceneKill(ctx context.Context, d *demo) (string, error) {
@@ -145,35 +135,35 @@
 		return "", errors.New("no host is left to kill")
 	}
 	d.fleet.killHost(host)
-	return host.name + " killed", rest(ctx, sceneTime)
+	return host.name + " killed", clocker.Sleep(ctx, sceneTime)
 }
 
 func sceneTenant(ctx context.Context, d *demo) (string, error) {
 	w := d.fleet.layout.workspaces[0].name
 	d.traffic.boost.Store(w, 5.0)
 	defer d.traffic.boost.Delete(w)
-	return w + " sends 5 times its rate", rest(ctx, sceneTime)
+	return w + " sends 5 times its rate", clocker.Sleep(ctx, sceneTime)
 }
 
 func sceneCut(ctx context.Context, d *demo) (string, error) {
 	zone := d.fleet.layout.zoneOf(3)
 	d.fleet.links.cutOff(zone, true)
-	err := rest(ctx, lease+2*time.Second)
+	err := clocker.Sleep(ctx, lease+2*time.Second)
 	d.fleet.links.cutOff(zone, false)
 	if err != nil {
 		return "", err
 	}
-	return zone + " cut off for 5 s", rest(ctx, 2*time.Second)
+	return zone + " cut off for 5 s", clocker.Sleep(ctx, 2*time.Second)
 }
 
 func sceneStore(ctx context.Context, d *demo) (string, error) {
 	d.fleet.platform.SetOutage(true)
-	err := rest(ctx, lease+2*time.Second)
+	err := clocker.Sleep(ctx, lease+2*time.Second)
 	d.fleet.platform.SetOutage(false)
 	if err != nil {
 		return "", err
 	}
-	return "store out for 5 s", rest(ctx, 2*time.Second)
+	return "store out for 5 s", clocker.Sleep(ctx, 2*time.Second)
 }
 
 const (
@@ -239,9 +229,9 @@
 			share, last = record.SharePPM, time.Now()
 		}
 		if record.State == "finished" {
-			return fmt.Sprintf("moved in %d steps, %d ms", steps, time.Since(began).Milliseconds()), rest(ctx, moveInterval)
+			return fmt.Sprintf("moved in %d steps, %d ms", steps, time.Since(began).Milliseconds()), clocker.Sleep(ctx, moveInterval)
 		}
-		if err := rest(ctx, 20*time.Millisecond); err != nil {
+		if err := clocker.Sleep(ctx, 20*time.Millisecond); err != nil {
 			return "", err
 		}
 	}
@@ -261,5 +251,5 @@
 			_ = t.http.Close()
 		}
 	}
-	return "all hosts and backend servers of " + region + " end", rest(ctx, sceneTime+2*time.Second)
+	return "all hosts and backend servers of " + region + " end", clocker.Sleep(ctx, sceneTime+2*time.Second)
 }
