charter: test faulty charts from data files, mend names

Cause: charts are checked on load and nothing tested the checks. Before: none. After: unreachable and unknown states, unknown and doubled triggers, each with file, line and field; and that nothing leads from dispatched to refused. Reading pass: a parameter nobody used, a cut-off name, a constant in the middle of a file. The demo takes its floors from an option, with as many hosts as run. Conclusion: no fault found.

--- /dev/null
+++ b/internal/charter/charter_test.go
@@ -0,0 +1,67 @@
+package charter_test
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"golang.org/x/tools/txtar"
+
+	"magnoliahill.example/magnoliahill/charts"
+	"magnoliahill.example/magnoliahill/internal/charter"
+)
+
+// Each file holds a faulty chart and the lines that its error must have.
+func TestFaultyCharts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			archive, err := txtar.ParseFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = charter.Parse(archive.Files[0].Name, archive.Files[0].Data)
+			if err == nil {
+				t.Fatal("the chart was taken")
+			}
+			for _, line := range strings.Split(strings.TrimSpace(string(archive.Files[1].Data)), "\n") {
+				if !strings.Contains(err.Error(), line) {
+					t.Errorf("no %q in\n%v", line, err)
+				}
+			}
+		})
+	}
+}
+
+func TestChartsOfTheProgramAreSound(t *testing.T) {
+	entries, err := charts.Files.ReadDir(".")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, entry := range entries {
+		if _, err := charter.Load(strings.TrimSuffix(entry.Name(), ".yaml")); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// After dispatch nothing may lead to "not run" but proof that nothing ran.
+func TestRequestChart(t *testing.T) {
+	is := is.New(t)
+	c := charter.MustLoad("request")
+	state := c.Initial()
+	for _, trigger := range []charter.Trigger{"admit", "wait", "dispatch"} {
+		is.NoErr(c.Fire(&state, trigger))
+	}
+	is.Equal(state, charter.State("dispatched"))
+	is.True(c.Fire(&state, "refuse") != nil)
+	is.Equal(state, charter.State("dispatched")) // a refused trigger changes nothing
+	next, err := c.Next(state, "break")
+	is.NoErr(err)
+	is.Equal(next, charter.State("unknown"))
+	is.True(c.Final(next))
+}
--- a/internal/commander/demo.go
+++ b/internal/commander/demo.go
@@ -20,15 +20,16 @@
 
 type demoCommand struct {
 	out    *output
-	Layout string `long:"layout" description:"shape of the fleet" choice:"uwimana" choice:"hoshizora" default:"uwimana"`
-	Output string `long:"output" description:"form of the result" choice:"plain" choice:"json" default:"plain"`
+	Layout string  `long:"layout" description:"shape of the fleet" choice:"uwimana" choice:"hoshizora" default:"uwimana"`
+	Floor  float64 `long:"floor" description:"sum of the hosts' floors as a share of each limit" default:"1"`
+	Output string  `long:"output" description:"form of the result" choice:"plain" choice:"json" default:"plain"`
 }
 
 // Execute implements command.
 func (c *demoCommand) Execute([]string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	layout, err := demonstrator.NewLayout(c.Layout)
+	layout, err := demonstrator.NewLayout(c.Layout, demonstrator.WithFloor(c.Floor))
 	if err != nil {
 		return failed(ExitUsage, err)
 	}
--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -192,10 +192,10 @@
 listen: {data: "%s", control: "%s"}
 platform: {url: "%s", timeout: 1s, watch-wait: 5s, hosts-poll: 500ms}
 membership: {heartbeat: %s, silence: %s}
-shares: {lease: %s, drift: %s}
+shares: {lease: %s, drift: %s, floor: %g, fleet-hosts: %d}
 lookup: {ttl: %s}
 stop: {quiet: 500ms}
-`, name, zone, data, control, f.url, heartbeat, silence, lease, drift, lookupTTL)
+`, name, zone, data, control, f.url, heartbeat, silence, lease, drift, f.layout.floor, f.layout.hosts, lookupTTL)
 }
 
 func (f *fleet) publishAll(ctx context.Context) error {
--- a/internal/demonstrator/layout.go
+++ b/internal/demonstrator/layout.go
@@ -35,8 +35,9 @@
 type Layout struct {
 	name        string
 	regions     []string
-	zones       int // in each region
-	hosts       int // entry hosts in the fleet
+	zones       int     // in each region
+	hosts       int     // entry hosts in the fleet
+	floor       float64 // sum of the hosts' floors as a share of each limit
 	linkMbits   int
 	linkLatency time.Duration // one way, between regions
 	zoneLatency time.Duration // one way, between availability zones of a region
@@ -48,15 +49,25 @@
 // Layouts returns the names of all layouts.
 func Layouts() []string { return []string{"uwimana", "hoshizora"} }
 
+// Option changes one property of a layout.
+type Option func(*Layout)
+
+// WithFloor sets the sum of the hosts' floors as a share of each limit.
+func WithFloor(sum float64) Option { return func(l *Layout) { l.floor = sum } }
+
 // NewLayout returns a layout by name.
-func NewLayout(name string) (Layout, error) {
-	switch name {
-	case "uwimana":
-		return uwimana(), nil
-	case "hoshizora":
-		return hoshizora(), nil
+func NewLayout(name string, options ...Option) (Layout, error) {
+	layouts := map[string]func() Layout{"uwimana": uwimana, "hoshizora": hoshizora}
+	build := layouts[name]
+	if build == nil {
+		return Layout{}, fmt.Errorf("layout %q is none of %q", name, Layouts())
+	}
+	l := build()
+	l.floor = 1
+	for _, option := range options {
+		option(&l)
 	}
-	return Layout{}, fmt.Errorf("layout %q is none of %q", name, Layouts())
+	return l, nil
 }
 
 func uwimana() Layout {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -28,11 +28,11 @@
 )
 
 const (
-	dialTimeout     = time.Second
-	keepAlive       = 15 * time.Second
-	idleTimeout     = 60 * time.Second
-	maxHeader       = 64 << 10 // bytes of an answer's header
-	maxIdlePerServe = 64
+	dialTimeout      = time.Second
+	keepAlive        = 15 * time.Second
+	idleTimeout      = 60 * time.Second
+	maxHeader        = 64 << 10 // bytes of an answer's header
+	maxIdlePerServer = 64
 )
 
 // Forwarder keeps the connections to all backend servers.
@@ -54,7 +54,7 @@
 	f := &Forwarder{transport: &http.Transport{
 		DialContext:            dialer(&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}),
 		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdlePerServe,
+		MaxIdleConnsPerHost:    maxIdlePerServer,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeader,
 	}}
--- a/internal/server/call.go
+++ b/internal/server/call.go
@@ -244,7 +244,7 @@
 	c.w.WriteHeader(resp.StatusCode)
 	err := copyFlushing(c.w, resp)
 	if err != nil {
-		c.pool.release(pick, copyResult(c.r.Context(), resp))
+		c.pool.release(pick, cutShort(c.r.Context()))
 		s.counters.cutShort.Inc(1)
 		klog.V(2).InfoS("answer broke off", "request", c.id, "backend", pick.Server().Name())
 		panic(http.ErrAbortHandler)
@@ -259,7 +259,9 @@
 	s.counters.answered.Inc(1)
 }
 
-func copyResult(ctx context.Context, _ *http.Response) router.Result {
+// cutShort tells whether an answer that broke off speaks against the backend
+// server: not when the caller went away.
+func cutShort(ctx context.Context) router.Result {
 	if ctx.Err() != nil {
 		return router.Canceled
 	}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -33,6 +33,8 @@
 	Canceled
 )
 
+const million = 1_000_000 // shares are counted in millionths
+
 type zone struct {
 	name     string
 	region   string
@@ -146,8 +148,6 @@
 	return r.zones
 }
 
-const million = 1_000_000
-
 // LatencyIn returns the longest average latency of a region's backend servers.
 func (r *Router) LatencyIn(region string) time.Duration {
 	r.mu.Lock()
