--- /dev/null
+++ b/internal/server/refusal_test.go
@@ -0,0 +1,94 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"magnoliahill.example/magnoliahill/internal/admitter"
+	"magnoliahill.example/magnoliahill/internal/loader"
+	"magnoliahill.example/magnoliahill/internal/parser"
+	"magnoliahill.example/magnoliahill/pkg/cataloger"
+	"magnoliahill.example/magnoliahill/pkg/marker"
+	"magnoliahill.example/magnoliahill/pkg/sharer"
+)
+
+// quietHost returns a host that does not run, is the only member, and holds the
+// whole rate or nothing of it, and a request with a key.
+func quietHost(t testing.TB, holds bool) (*Server, *http.Request) {
+	t.Helper()
+	settings, err := loader.Parse("h.yaml", []byte(`
+host: {name: h, zone: z}
+listen: {data: "127.0.0.1:1", control: "127.0.0.1:2"}
+platform: {url: "http://127.0.0.1:3"}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := New(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	catalog, err := parser.Build(1, []parser.Document{
+		parser.NewDocument("t.yaml", []byte("kind: topology\nregions: [{name: r, zones: [z]}]")),
+		parser.NewDocument("s.yaml", []byte("kind: service\nservice: orders\nbackend-servers: [{address: \"127.0.0.1:4\", zone: z}]")),
+		parser.NewDocument("w.yaml", []byte("kind: workspace\nworkspace: w\nservices: [orders]\nrate: 1000000")),
+		parser.NewDocument("k.yaml", parser.RenderKeys("w", []*cataloger.Key{
+			cataloger.NewKey(cataloger.Origin{}, "k", cataloger.HashKey("secret"), "w"),
+		})),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := s.clock.Now()
+	s.sharer.SetLimits(now, 1, limits(catalog))
+	s.sharer.Contact(now, now, sharer.Roster{}.With(sharer.Member{ID: s.id}).Next(s.id))
+	if holds {
+		census := sharer.NewCensus(s.sharer.Roster(), 1, now, s.sharer.Lease(), 0)
+		census.Add(s.sharer.Report())
+		s.sharer.Issue(now, census)
+	}
+	s.snapshot.Store(&snapshot{catalog: catalog, table: admitter.NewTable(catalog), phase: serving})
+	r := httptest.NewRequest(http.MethodPost, "http://orders.example/order", nil)
+	r.Header.Set(marker.Key, "secret")
+	return s, r
+}
+
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	s, r := quietHost(t, false)
+	_, refusal := s.admit(context.Background(), r, s.snapshot.Load())
+	is.Equal(refusal.Reason(), marker.ReasonRate)
+	w := httptest.NewRecorder()
+	refusal.Write(w)
+	is.Equal(w.Code, http.StatusTooManyRequests)
+	is.Equal(w.Header().Get(marker.Outcome), marker.OutcomeNotRun)
+	is.Equal(w.Header().Get("Retry-After"), "1")
+}
+
+// BenchmarkRefusal measures the decision to refuse a request over its rate.
+func BenchmarkRefusal(b *testing.B) {
+	s, r := quietHost(b, false)
+	snap := s.snapshot.Load()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, refusal := s.admit(context.Background(), r, snap); refusal == nil {
+			b.Fatal("admitted")
+		}
+	}
+}
+
+// BenchmarkAdmission measures the decision to admit a request: service, key,
+// workspace and rate.
+func BenchmarkAdmission(b *testing.B) {
+	s, r := quietHost(b, true)
+	snap := s.snapshot.Load()
+	b.ReportAllocs()
+	for b.Loop() {
+		s.sharer.Tick(s.clock.Now())
+		_, _ = s.admit(context.Background(), r, snap)
+	}
+}
