conductor: run an entry host on the users' platform

Cause: the product spoke only its own protocols. The whole path on the platform is built: settings, store, configuration, registrations, look-ups, requests, membership, planned stop.

--- a/internal/admitter/refusal.go
+++ b/internal/admitter/refusal.go
@@ -37,6 +37,12 @@
 // Outcome returns not-run or unknown.
 func (r *Refusal) Outcome() string { return r.outcome }
 
+// Status returns the HTTP status.
+func (r *Refusal) Status() int { return r.status }
+
+// RetryAfter returns when to come back; 0 when coming back does not help.
+func (r *Refusal) RetryAfter() time.Duration { return r.retryAfter }
+
 // Error returns the text for the caller.
 func (r *Refusal) Error() string { return r.text }
 
--- /dev/null
+++ b/internal/conductor/loop.go
@@ -0,0 +1,396 @@
+package conductor
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"magnoliahill.example/magnoliahill/internal/carrier"
+	"magnoliahill.example/magnoliahill/internal/follower"
+	"magnoliahill.example/magnoliahill/internal/keeper"
+	"magnoliahill.example/magnoliahill/internal/loader"
+	"magnoliahill.example/magnoliahill/pkg/cataloger"
+	"magnoliahill.example/magnoliahill/pkg/greeter"
+	"magnoliahill.example/magnoliahill/pkg/registrar"
+	"magnoliahill.example/magnoliahill/pkg/tracker"
+)
+
+const (
+	inboxSize   = 256                    // messages waiting for the loop
+	tick        = 250 * time.Millisecond // between two looks at what is due
+	greetEvery  = 500 * time.Millisecond // between heartbeats
+	silence     = 1700 * time.Millisecond
+	sweepEvery  = 2 * time.Second
+	reloadEvery = 2 * time.Second // the settings file may change without a signal
+)
+
+// loop owns the control state of a daemon. Only its own goroutine touches the
+// fields; others send it messages.
+type loop struct {
+	conductor *Conductor
+	inbox     chan message
+	tracker   *tracker.Tracker
+	greeter   *greeter.Greeter
+	registrar *registrar.Registrar
+	followers map[string]*follower.Follower
+	kinds     Kinds
+	tables    map[string]*table // by kind
+	catalog   *cataloger.Catalog
+	adopted   time.Duration // when the catalog was
+	evacuated []string
+	phase     carrier.Phase
+	ends      time.Duration // when the process will end; 0 unless it is stopping
+	hosts     int           // that may send requests, this one included
+	greeted   time.Duration
+	swept     time.Duration
+	asking    bool // another host is being asked for objects
+	written   bool // the own registration stands in the store
+	steered   uint64
+}
+
+// message is one input of the loop.
+type message interface {
+	apply(l *loop, now time.Duration)
+}
+
+func newLoop(c *Conductor) *loop {
+	kinds := c.platform.Kinds()
+	self := tracker.Beat{
+		ID:   tracker.HostID{Name: c.settings.Host, Incarnation: uint64(time.Now().UnixMicro())},
+		Zone: c.settings.Zone, Control: c.settings.Control, Data: c.settings.Data, State: tracker.Leaving,
+	}
+	l := &loop{
+		conductor: c,
+		inbox:     make(chan message, inboxSize),
+		tracker:   tracker.New(self, tracker.WithSilence(silence)),
+		registrar: registrar.New(),
+		followers: map[string]*follower.Follower{},
+		kinds:     kinds,
+		tables:    map[string]*table{},
+		hosts:     c.settings.Expected,
+	}
+	l.greeter = greeter.New(c.settings.Host, c.settings.Zone, l.tracker, c.settings.Seeds)
+	for _, kind := range []string{kinds.Config, kinds.Servers, kinds.Evacuations, kinds.Hosts} {
+		l.tables[kind] = newTable()
+		l.followers[kind] = follower.New(c.platform, kind, l.tell)
+	}
+	return l
+}
+
+// run starts the loop and all that feeds it.
+func (l *loop) run(ctx context.Context) {
+	go l.work(ctx)
+	for _, f := range l.followers {
+		go f.Run(ctx)
+	}
+}
+
+func (l *loop) work(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-l.inbox:
+			m.apply(l, l.conductor.clock.Now())
+		case <-ticker.C:
+			l.tick(l.conductor.clock.Now())
+		}
+	}
+}
+
+// send hands the loop a message.
+func (l *loop) send(m message) { l.inbox <- m }
+
+// news is what a follower told.
+type news struct{ follower.News }
+
+func (l *loop) tell(n follower.News) { l.send(news{n}) }
+
+func (n news) apply(l *loop, now time.Duration) {
+	t := l.tables[n.Kind]
+	switch {
+	case n.Lost != nil:
+		if !t.lost {
+			t.lost = true
+			klog.InfoS("store lost", "kind", n.Kind, "revision", t.revision, "cause", n.Lost.Error())
+		}
+		if n.Kind == l.kinds.Servers {
+			l.registrar.StoreLost()
+		}
+	case n.Listed != nil:
+		if t.lost || !t.known {
+			klog.InfoS("store answers", "kind", n.Kind, "revision", n.Listed.Revision(), "objects", len(n.Listed.Items()))
+		}
+		t.lost = false
+		if n.Kind == l.kinds.Servers {
+			l.registrar.StoreRegained(now)
+		}
+		t.replace(*n.Listed)
+		l.changed(now, n.Kind, nil)
+	case n.Changed != nil:
+		t.change(*n.Changed)
+		l.changed(now, n.Kind, n.Changed)
+	}
+}
+
+// changed takes in what stands in the table of a kind. Without the changes the
+// whole table may have changed.
+func (l *loop) changed(now time.Duration, kind string, changes *keeper.Table) {
+	switch kind {
+	case l.kinds.Config:
+		l.adopt(now)
+	case l.kinds.Servers:
+		l.register(now, changes)
+	case l.kinds.Evacuations:
+		l.evacuate(now)
+	case l.kinds.Hosts:
+		l.meet(now)
+	}
+}
+
+// adopt puts the configuration in force if it is newer.
+func (l *loop) adopt(now time.Duration) {
+	for _, item := range l.tables[l.kinds.Config].items {
+		catalog, err := l.conductor.platform.DecodeConfig(item, l.conductor.settings.Regions)
+		if err != nil {
+			klog.ErrorS(err, "configuration ignored", "object", item.Name(), "revision", item.Revision())
+			continue
+		}
+		if l.catalog != nil && catalog.Generation() <= l.catalog.Generation() {
+			continue
+		}
+		l.catalog = catalog
+		l.adopted = now
+		klog.InfoS("configuration adopted", "config", catalog.Generation(), "revision", item.Revision(),
+			"routes", len(catalog.Routes()), "services", len(catalog.Services()), "workspaces", len(catalog.Workspaces()))
+		l.conductor.divider.SetLimits(now, limits(catalog))
+		l.place(now)
+		l.publish()
+	}
+}
+
+// register takes in registrations of backend servers.
+func (l *loop) register(now time.Duration, changes *keeper.Table) {
+	items := l.tables[l.kinds.Servers].items
+	if changes == nil {
+		var all []registrar.Instance
+		for _, item := range items {
+			if instance, ok := l.decodeServer(item); ok {
+				all = append(all, instance)
+			}
+		}
+		l.registrar.Replace(now, all)
+	} else {
+		for _, item := range changes.Items() {
+			l.registerOne(now, item)
+		}
+	}
+	l.place(now)
+}
+
+func (l *loop) registerOne(now time.Duration, item keeper.Item) {
+	if item.Deleted() {
+		l.registrar.Remove(now, item.Name())
+		klog.InfoS("backend server gone", "server", item.Name(), "revision", item.Revision())
+		return
+	}
+	instance, ok := l.decodeServer(item)
+	if !ok {
+		l.registrar.Remove(now, item.Name())
+		return
+	}
+	l.registrar.Put(now, instance)
+	klog.InfoS("backend server registered", "server", instance.ID(), "service", instance.Service(),
+		"zone", instance.Zone(), "draining", instance.State() == registrar.Draining,
+		"cold", instance.Cold(), "revision", item.Revision())
+}
+
+func (l *loop) decodeServer(item keeper.Item) (registrar.Instance, bool) {
+	instance, err := l.conductor.platform.DecodeServer(item)
+	if err != nil {
+		klog.InfoS("registration ignored", "server", item.Name(), "cause", err.Error())
+		return registrar.Instance{}, false
+	}
+	return instance, true
+}
+
+func (l *loop) evacuate(now time.Duration) {
+	l.evacuated = l.evacuated[:0]
+	for name := range l.tables[l.kinds.Evacuations].items {
+		l.evacuated = append(l.evacuated, name)
+	}
+	klog.InfoS("evacuations", "zones", l.evacuated, "revision", l.tables[l.kinds.Evacuations].revision)
+	l.place(now)
+}
+
+// place tells the placer what may get requests.
+func (l *loop) place(now time.Duration) {
+	if l.catalog == nil {
+		return
+	}
+	services := make([]placerService, 0, len(l.catalog.Services()))
+	for _, s := range l.catalog.Services() {
+		services = append(services, placerService{Name: s.Name(), ColdRate: s.ColdRate(), ColdStart: s.ColdStart()})
+	}
+	instances := l.registrar.Instances()
+	l.conductor.placer.Update(now, services, instances, l.evacuated)
+	l.retain(instances)
+}
+
+// retain keeps idle connections only to backend servers that are registered.
+func (l *loop) retain(instances []registrar.Registered) {
+	targets := make([]target, 0, len(instances))
+	for _, i := range instances {
+		targets = append(targets, target{Address: i.Address(), Instance: i.ID()})
+	}
+	l.conductor.exchanger.Retain(targets)
+}
+
+// hostCodec is a host's registration in the store.
+type hostCodec struct {
+	Zone    string `json:"zone"`
+	Control string `json:"control"`
+	Data    string `json:"data"`
+}
+
+// meet takes in the registered hosts, and registers the own one.
+func (l *loop) meet(now time.Duration) {
+	var contacts []greeter.Contact
+	own := l.ownRegistration()
+	stands := false
+	for _, item := range l.tables[l.kinds.Hosts].items {
+		var wire hostCodec
+		if err := json.Unmarshal(item.Content(), &wire); err != nil {
+			klog.ErrorS(err, "host registration ignored", "host", item.Name())
+			continue
+		}
+		if item.Name() == l.conductor.settings.Host {
+			stands = wire == own
+			continue
+		}
+		contacts = append(contacts, greeter.Contact{Name: item.Name(), Zone: wire.Zone, Control: wire.Control, Data: wire.Data})
+	}
+	l.greeter.SetContacts(contacts)
+	l.count(now)
+	if !stands && !l.written {
+		l.written = true
+		go l.enroll(own)
+	}
+}
+
+func (l *loop) ownRegistration() hostCodec {
+	s := l.conductor.settings
+	return hostCodec{Zone: s.Zone, Control: s.Control, Data: s.Data}
+}
+
+// enroll writes the own registration.
+func (l *loop) enroll(own hostCodec) {
+	name := l.conductor.settings.Host
+	content, err := json.Marshal(own)
+	if err != nil {
+		klog.ErrorS(err, "own registration could not be encoded")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), enrollTimeout)
+	defer cancel()
+	err = l.conductor.platform.Create(ctx, l.kinds.Hosts, name, content)
+	if errors.Is(err, keeper.ErrConflict) {
+		err = l.conductor.platform.Replace(ctx, l.kinds.Hosts, name, content, 0)
+	}
+	l.send(&enrolled{err: err})
+}
+
+const enrollTimeout = 2 * time.Second
+
+// enrolled tells how the own registration went.
+type enrolled struct{ err error }
+
+func (m *enrolled) apply(l *loop, _ time.Duration) {
+	if m.err != nil {
+		// The next list of hosts shows whether it is still missing.
+		l.written = false
+		klog.InfoS("own registration not confirmed", "cause", m.err.Error())
+		l.followers[l.kinds.Hosts].Nudge()
+		return
+	}
+	klog.InfoS("host registered", "host", l.conductor.settings.Host)
+}
+
+// count works out how many hosts share the limits: all that are registered or
+// were heard of, but those that said farewell.
+func (l *loop) count(now time.Duration) {
+	names := []string{l.conductor.settings.Host}
+	seen := map[string]bool{l.conductor.settings.Host: true}
+	for _, host := range l.tracker.Known(now) {
+		seen[host.ID.Name] = true
+		names = append(names, host.ID.Name)
+	}
+	for name := range l.tables[l.kinds.Hosts].items {
+		if !seen[name] {
+			names = append(names, name)
+		}
+	}
+	if len(names) == l.hosts {
+		return
+	}
+	l.hosts = len(names)
+	l.conductor.placer.SetHosts(names)
+	l.conductor.carrier.SetRetries(retries(l.conductor.settings, l.hosts))
+	klog.InfoS("hosts counted", "hosts", l.hosts)
+}
+
+// publish shows the request path the configuration and phase.
+func (l *loop) publish() {
+	if l.phase == carrier.Starting && l.catalog != nil {
+		l.phase = carrier.Serving
+		l.tracker.SetState(tracker.Serving)
+		klog.InfoS("host serves", "config", l.catalog.Generation())
+	}
+	l.conductor.carrier.SetView(carrier.NewView(l.catalog, l.phase, l.adopted, l.ends))
+	l.conductor.ready.Store(l.phase == carrier.Serving)
+}
+
+// tick does what is due.
+func (l *loop) tick(now time.Duration) {
+	if dropped := l.registrar.Tick(now); len(dropped) > 0 {
+		klog.InfoS("backend servers did not come back", "servers", dropped)
+		l.place(now)
+	}
+	if now-l.greeted >= greetEvery {
+		l.greeted = now
+		l.share(now)
+		l.greet(now)
+	}
+	if now-l.swept >= sweepEvery {
+		l.swept = now
+		l.conductor.exchanger.Sweep(time.Now())
+	}
+	l.askPeers(now)
+}
+
+// share works out the own parts of the limits anew, and who may be named to
+// callers.
+func (l *loop) share(now time.Duration) {
+	l.count(now)
+	live := l.tracker.Live(now)
+	l.conductor.divider.SetOthers(now, l.hosts, len(live), l.greeter.Others(now))
+	l.conductor.steer(live)
+}
+
+// settingsRead is what a changed settings file holds.
+type settingsRead struct{ settings *loader.Deployment }
+
+func (m *settingsRead) apply(l *loop, _ time.Duration) {
+	// Addresses and the host's place hold as long as the process.
+	l.greeter.SetSeeds(m.settings.Seeds)
+	l.conductor.settings.Seeds = m.settings.Seeds
+	l.conductor.settings.RetryRatio = m.settings.RetryRatio
+	l.conductor.settings.RetryExtra = m.settings.RetryExtra
+	l.conductor.carrier.SetRetries(retries(l.conductor.settings, l.hosts))
+	klog.InfoS("settings reloaded", "seeds", m.settings.Seeds)
+}
--- /dev/null
+++ b/internal/conductor/stop.go
@@ -0,0 +1,110 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"magnoliahill.example/magnoliahill/internal/carrier"
+	"magnoliahill.example/magnoliahill/pkg/tracker"
+)
+
+const (
+	stopMargin  = 400 * time.Millisecond // before the platform ends the process
+	finishSpan  = 300 * time.Millisecond // at the end nothing new is taken
+	stopLook    = 50 * time.Millisecond
+	stopLinger  = 500 * time.Millisecond // callers may be this late with a look-up answer
+	closingSpan = 150 * time.Millisecond
+)
+
+// leaving starts a planned stop.
+type leaving struct {
+	phase carrier.Phase
+	ends  time.Duration
+}
+
+func (m *leaving) apply(l *loop, now time.Duration) {
+	l.phase = m.phase
+	l.ends = m.ends
+	l.tracker.SetState(tracker.Leaving)
+	klog.InfoS("host stops", "phase", m.phase, "running", l.conductor.carrier.Running(), "left", m.ends-now)
+	l.publish()
+	l.greet(now)
+}
+
+// farewell tells the other hosts that this process holds nothing any more.
+type farewell struct{ done chan struct{} }
+
+func (m *farewell) apply(l *loop, now time.Duration) {
+	l.tracker.SetState(tracker.Gone)
+	for _, letter := range l.greeter.Letters(now) {
+		letter.Full = true
+		l.conductor.send(letter.Control, l.greeting(now, letter))
+	}
+	close(m.done)
+}
+
+// stop ends the host without cutting off a request: it goes out of the look-ups,
+// serves callers that still come until their answers have run out, finishes what
+// runs, and leaves.
+func (c *Conductor) stop() {
+	began := c.clock.Now()
+	ends := began + c.settings.Grace - stopMargin
+	c.loop.send(&leaving{phase: carrier.Leaving, ends: ends})
+	quiet := min(began+lookupTTL+stopLinger, ends-finishSpan)
+	for now := c.clock.Now(); now < ends-finishSpan; now = c.clock.Now() {
+		if now >= quiet && c.carrier.Running() == 0 {
+			break
+		}
+		time.Sleep(stopLook)
+	}
+	c.loop.send(&leaving{phase: carrier.Finishing, ends: ends})
+	for c.clock.Now() < ends && c.carrier.Running() > 0 {
+		time.Sleep(stopLook)
+	}
+	bye := &farewell{done: make(chan struct{})}
+	c.loop.send(bye)
+	<-bye.done
+	ctx, cancel := context.WithTimeout(context.Background(), closingSpan)
+	defer cancel()
+	for _, server := range c.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			_ = server.Close() // what still runs is past the platform's time
+		}
+	}
+	_ = c.udp.Close()
+	c.exchanger.Close()
+	c.recorder.Close()
+	klog.InfoS("host stopped", "host", c.settings.Host, "took", c.clock.Now()-began)
+	klog.Flush()
+}
+
+// reloadOn reads the settings again on each hang-up signal, and now and then
+// without one.
+func (c *Conductor) reloadOn(ctx context.Context, hangUps <-chan struct{}) {
+	if c.reload == nil {
+		return
+	}
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangUps:
+			asked = true
+		case <-ticker.C:
+		}
+		settings, err := c.reload()
+		switch {
+		case err != nil:
+			klog.ErrorS(err, "settings not reloaded; the earlier ones stay in force")
+		case settings != nil:
+			c.loop.send(&settingsRead{settings})
+		case asked:
+			klog.InfoS("settings unchanged")
+		}
+	}
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,128 @@
+// Package follower keeps up with kinds of objects in the platform's store: it
+// lists a kind once and then watches it, and says when the store is lost.
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"magnoliahill.example/magnoliahill/internal/clocker"
+	"magnoliahill.example/magnoliahill/internal/keeper"
+)
+
+const (
+	listTimeout = 1500 * time.Millisecond // a store slowed sixty times answers in 240 ms
+	watchWait   = 25 * time.Second        // the platform ends a watch after 30 s
+	watchSlack  = 1500 * time.Millisecond // for the way and a slow store
+	settle      = 150 * time.Millisecond  // changes that come together are taken in one call
+	firstRetry  = 100 * time.Millisecond
+	lastRetry   = 900 * time.Millisecond // a host is back well before the store counts as stable
+)
+
+// Source is the store as the follower sees it.
+type Source interface {
+	List(ctx context.Context, kind string) (keeper.Table, error)
+	Watch(ctx context.Context, kind string, after int64, wait time.Duration) (keeper.Table, error)
+}
+
+// News is what a follower tells: exactly one of its parts is set.
+type News struct {
+	Kind    string
+	Listed  *keeper.Table // all objects of the kind
+	Changed *keeper.Table // objects that changed since the news before
+	Lost    error         // the store stopped answering
+}
+
+// Follower follows one kind.
+type Follower struct {
+	source Source
+	kind   string
+	tell   func(News)
+	nudge  chan struct{} // buffered; ends a watch that is behind
+}
+
+// New returns a follower that tells its news to a function, in order.
+func New(source Source, kind string, tell func(News)) *Follower {
+	return &Follower{source: source, kind: kind, tell: tell, nudge: make(chan struct{}, 1)}
+}
+
+// Nudge makes the follower list again, since its watch has fallen silent while
+// others heard of changes.
+func (f *Follower) Nudge() {
+	select {
+	case f.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		table, err := f.list(ctx)
+		if err != nil {
+			f.tell(News{Kind: f.kind, Lost: err})
+			_ = clocker.Sleep(ctx, jitter(retry))
+			retry = min(2*retry, lastRetry)
+			continue
+		}
+		retry = firstRetry
+		f.tell(News{Kind: f.kind, Listed: &table})
+		f.watch(ctx, table.Revision())
+	}
+}
+
+func (f *Follower) list(ctx context.Context) (keeper.Table, error) {
+	select {
+	case <-f.nudge: // the list is what it asked for
+	default:
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return f.source.List(ctx, f.kind)
+}
+
+// watch tells changes until the store breaks off or forgets.
+func (f *Follower) watch(ctx context.Context, revision int64) {
+	for ctx.Err() == nil {
+		table, err := f.watchOnce(ctx, revision)
+		if err != nil {
+			return
+		}
+		revision = max(revision, table.Revision())
+		if len(table.Items()) == 0 {
+			continue
+		}
+		f.tell(News{Kind: f.kind, Changed: &table})
+		_ = clocker.Sleep(ctx, settle)
+	}
+}
+
+var errNudged = errors.New("watch was behind")
+
+func (f *Follower) watchOnce(ctx context.Context, revision int64) (keeper.Table, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-f.nudge:
+			cancel()
+		case <-done:
+		}
+	}()
+	table, err := f.source.Watch(ctx, f.kind, revision, watchWait)
+	if ctx.Err() != nil {
+		return keeper.Table{}, errNudged
+	}
+	return table, err
+}
+
+// jitter spreads hosts that lost the store together.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -5,7 +5,10 @@
 	"sync"
 )
 
-const maxReplay = 64 << 10 // bytes of a request body kept for another try
+const (
+	maxReplay = 64 << 10 // bytes of a request body kept for another try
+	fillStep  = 4 << 10  // bytes read ahead at once
+)
 
 // Body is a request body that can be sent again as long as no more than
 // maxReplay bytes were read from it.
@@ -39,6 +42,38 @@
 	return !b.overflow
 }
 
+// Fill reads ahead until the body ends or no more can be kept, and reports
+// whether the whole body is kept. The error is the source's, io.EOF excepted.
+func (b *Body) Fill() (bool, error) {
+	reader := b.Open()
+	buffer := make([]byte, fillStep)
+	for b.filling() {
+		_, err := reader.Read(buffer)
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return false, err
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended == io.EOF && !b.overflow, nil
+}
+
+func (b *Body) filling() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended == nil && !b.overflow && len(b.kept)+fillStep <= maxReplay
+}
+
+// Kept returns the bytes read so far, from the start of the body.
+func (b *Body) Kept() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.kept
+}
+
 // Open returns the body from its start, for one try. A try must have ended
 // before the next one is opened.
 func (b *Body) Open() io.ReadCloser { return &attempt{body: b} }
--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -4,8 +4,10 @@
 
 import (
 	"magnoliahill.example/magnoliahill/internal/clocker"
+	"magnoliahill.example/magnoliahill/internal/keeper"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
 	"magnoliahill.example/magnoliahill/internal/watcher"
+	"magnoliahill.example/magnoliahill/pkg/greeter"
 	"magnoliahill.example/magnoliahill/pkg/limiter"
 	"magnoliahill.example/magnoliahill/pkg/sharer"
 	"magnoliahill.example/magnoliahill/pkg/tracker"
@@ -193,3 +195,55 @@
 		Tokens: max(0, a.GetTokens()), Demand: max(0, a.GetDemand()), Need: max(0, a.GetNeed()),
 	}
 }
+
+// EncodeRecords maps records of demand to the wire.
+func EncodeRecords(records []greeter.Record) []*peerv1.DemandRecord {
+	wire := make([]*peerv1.DemandRecord, 0, len(records))
+	for _, r := range records {
+		one := &peerv1.DemandRecord{Scope: r.Scope}
+		for limit, rate := range r.Demands {
+			one.Demands = append(one.Demands, &peerv1.Demand{Limit: limit, PerSecond: float32(rate)})
+		}
+		wire = append(wire, one)
+	}
+	return wire
+}
+
+// DecodeRecords maps records of demand from the wire. One of an unknown scope or
+// a demand below 0 is dropped.
+func DecodeRecords(wire []*peerv1.DemandRecord) []greeter.Record {
+	records := make([]greeter.Record, 0, len(wire))
+	for _, w := range wire {
+		if !greeter.ValidScope(w.GetScope()) {
+			continue
+		}
+		demands := make(map[string]float64, len(w.GetDemands()))
+		for _, d := range w.GetDemands() {
+			if d.GetPerSecond() >= 0 {
+				demands[d.GetLimit()] = float64(d.GetPerSecond())
+			}
+		}
+		records = append(records, greeter.Record{Scope: w.GetScope(), Demands: demands})
+	}
+	return records
+}
+
+// EncodeTable maps the objects of a kind to the wire.
+func EncodeTable(kind string, table keeper.Table) *peerv1.ObjectTable {
+	wire := &peerv1.ObjectTable{Kind: kind, Revision: table.Revision()}
+	for _, item := range table.Items() {
+		wire.Objects = append(wire.Objects, &peerv1.StoredObject{
+			Name: item.Name(), Revision: item.Revision(), Content: item.Content(),
+		})
+	}
+	return wire
+}
+
+// DecodeTable maps the objects of a kind from the wire.
+func DecodeTable(wire *peerv1.ObjectTable) keeper.Table {
+	items := make([]keeper.Item, 0, len(wire.GetObjects()))
+	for _, o := range wire.GetObjects() {
+		items = append(items, keeper.NewItem(o.GetName(), o.GetRevision(), o.GetContent()))
+	}
+	return keeper.NewTable(items, wire.GetRevision())
+}
--- a/internal/messenger/peerv1/peerv1connect/peer.connect.go
+++ b/internal/messenger/peerv1/peerv1connect/peer.connect.go
@@ -44,6 +44,8 @@
 	PeerServiceHandOverProcedure = "/peer.v1.PeerService/HandOver"
 	// PeerServiceFetchProcedure is the fully-qualified name of the PeerService's Fetch RPC.
 	PeerServiceFetchProcedure = "/peer.v1.PeerService/Fetch"
+	// PeerServiceObjectsProcedure is the fully-qualified name of the PeerService's Objects RPC.
+	PeerServiceObjectsProcedure = "/peer.v1.PeerService/Objects"
 	// OperatorServiceStatusProcedure is the fully-qualified name of the OperatorService's Status RPC.
 	OperatorServiceStatusProcedure = "/peer.v1.OperatorService/Status"
 	// OperatorServiceTimeLineProcedure is the fully-qualified name of the OperatorService's TimeLine
@@ -63,6 +65,8 @@
 	HandOver(context.Context, *connect.Request[peerv1.HandOverRequest]) (*connect.Response[peerv1.HandOverResponse], error)
 	// Published files by the hash of their content.
 	Fetch(context.Context, *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchResponse], error)
+	// Objects of the platform's store, for a host that the store turns away.
+	Objects(context.Context, *connect.Request[peerv1.ObjectsRequest]) (*connect.Response[peerv1.ObjectsResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the peer.v1.PeerService service. By default, it uses
@@ -100,6 +104,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Fetch")),
 			connect.WithClientOptions(opts...),
 		),
+		objects: connect.NewClient[peerv1.ObjectsRequest, peerv1.ObjectsResponse](
+			httpClient,
+			baseURL+PeerServiceObjectsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Objects")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -109,6 +119,7 @@
 	ask      *connect.Client[peerv1.AskRequest, peerv1.AskResponse]
 	handOver *connect.Client[peerv1.HandOverRequest, peerv1.HandOverResponse]
 	fetch    *connect.Client[peerv1.FetchRequest, peerv1.FetchResponse]
+	objects  *connect.Client[peerv1.ObjectsRequest, peerv1.ObjectsResponse]
 }
 
 // Exchange calls peer.v1.PeerService.Exchange.
@@ -131,6 +142,11 @@
 	return c.fetch.CallUnary(ctx, req)
 }
 
+// Objects calls peer.v1.PeerService.Objects.
+func (c *peerServiceClient) Objects(ctx context.Context, req *connect.Request[peerv1.ObjectsRequest]) (*connect.Response[peerv1.ObjectsResponse], error) {
+	return c.objects.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Heartbeats, what each side knows, and census reports.
@@ -141,6 +157,8 @@
 	HandOver(context.Context, *connect.Request[peerv1.HandOverRequest]) (*connect.Response[peerv1.HandOverResponse], error)
 	// Published files by the hash of their content.
 	Fetch(context.Context, *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchResponse], error)
+	// Objects of the platform's store, for a host that the store turns away.
+	Objects(context.Context, *connect.Request[peerv1.ObjectsRequest]) (*connect.Response[peerv1.ObjectsResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -174,6 +192,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Fetch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceObjectsHandler := connect.NewUnaryHandler(
+		PeerServiceObjectsProcedure,
+		svc.Objects,
+		connect.WithSchema(peerServiceMethods.ByName("Objects")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -184,6 +208,8 @@
 			peerServiceHandOverHandler.ServeHTTP(w, r)
 		case PeerServiceFetchProcedure:
 			peerServiceFetchHandler.ServeHTTP(w, r)
+		case PeerServiceObjectsProcedure:
+			peerServiceObjectsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -209,6 +235,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Fetch is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Objects(context.Context, *connect.Request[peerv1.ObjectsRequest]) (*connect.Response[peerv1.ObjectsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Objects is not implemented"))
+}
+
 // OperatorServiceClient is a client for the peer.v1.OperatorService service.
 type OperatorServiceClient interface {
 	Status(context.Context, *connect.Request[peerv1.StatusRequest]) (*connect.Response[peerv1.StatusResponse], error)
--- a/internal/reader/mapping.go
+++ b/internal/reader/mapping.go
@@ -88,6 +88,9 @@
 	return ok
 }
 
+// Names returns the names of all fields in the order of the file.
+func (m *Mapping) Names() []string { return m.order }
+
 // Fail records a problem with a field's value.
 func (m *Mapping) Fail(name, format string, args ...any) {
 	line := m.line
--- a/internal/recorder/latency.go
+++ b/internal/recorder/latency.go
@@ -1,6 +1,8 @@
 package recorder
 
 import (
+	"fmt"
+	"io"
 	"sort"
 	"sync"
 	"time"
@@ -161,3 +163,22 @@
 	}
 	return merged, nil
 }
+
+// WriteText writes counts, quantiles and maxima of latency, one a line, in the
+// plain text form that metric collectors read.
+func (l *Latency) WriteText(w io.Writer) error {
+	for _, s := range l.Summaries() {
+		labels := fmt.Sprintf("{service=%q,workspace=%q", s.Service, s.Workspace)
+		_, err := fmt.Fprintf(w, "magnoliahill_latency_seconds%s,quantile=\"0.5\"} %g\n"+
+			"magnoliahill_latency_seconds%s,quantile=\"0.99\"} %g\n"+
+			"magnoliahill_latency_seconds%s,quantile=\"1\"} %g\n"+
+			"magnoliahill_answered_total%s} %d\nmagnoliahill_over_rate_total%s} %d\n"+
+			"magnoliahill_not_run_total%s} %d\nmagnoliahill_unknown_total%s} %d\n",
+			labels, s.P50.Seconds(), labels, s.P99.Seconds(), labels, s.Max.Seconds(),
+			labels, s.Answered, labels, s.OverRate, labels, s.RefusedOther, labels, s.Unknown)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -177,3 +177,9 @@
 	}
 	return connect.NewResponse(resp), nil
 }
+
+// Objects returns nothing: this daemon keeps its configuration as published
+// files, which Fetch returns.
+func (p *peerService) Objects(context.Context, *connect.Request[peerv1.ObjectsRequest]) (*connect.Response[peerv1.ObjectsResponse], error) {
+	return connect.NewResponse(&peerv1.ObjectsResponse{}), nil
+}
--- a/pkg/cataloger/catalog.go
+++ b/pkg/cataloger/catalog.go
@@ -41,6 +41,8 @@
 	Links      []*Link
 	Moves      []*Move
 	Sites      []*Site
+	Routes     []*Route
+	Limits     CallerLimits // of the latest part that sets any
 }
 
 // Append adds another file's items.
@@ -52,6 +54,10 @@
 	p.Links = append(p.Links, more.Links...)
 	p.Moves = append(p.Moves, more.Moves...)
 	p.Sites = append(p.Sites, more.Sites...)
+	p.Routes = append(p.Routes, more.Routes...)
+	if more.Limits != (CallerLimits{}) {
+		p.Limits = more.Limits
+	}
 }
 
 // Catalog is one configuration. It never changes once built, and every name in
@@ -64,6 +70,7 @@
 	keys       map[KeyHash]*Key
 	zoneRegion map[string]string
 	links      map[[2]string]*Link
+	routes     map[routeKey]*Route
 }
 
 // New checks the parts against one another and returns them as a catalog.
@@ -77,6 +84,7 @@
 		keys:       map[KeyHash]*Key{},
 		zoneRegion: map[string]string{},
 		links:      map[[2]string]*Link{},
+		routes:     map[routeKey]*Route{},
 	}
 	v := &validator{catalog: c}
 	v.topology()
@@ -85,6 +93,7 @@
 	v.allKeys()
 	v.allMoves()
 	v.allSites()
+	v.allRoutes()
 	if len(v.faults) > 0 {
 		return nil, v.faults
 	}
--- a/pkg/cataloger/service.go
+++ b/pkg/cataloger/service.go
@@ -83,6 +83,9 @@
 	retryBudget    float64       // retries as a share of first tries, 0 to 1
 	coldStart      time.Duration // a new backend server's share of work grows over this time
 	promise        time.Duration // promised 99th percentile of latency
+	healthPath     string        // path of the health check; begins with a slash
+	connections    int           // each backend server takes this many, from all hosts together; 0 when not known
+	coldRate       float64       // requests a second that a cold backend server bears; 0 when not known
 }
 
 // ServiceOption sets one property of a service under construction.
@@ -147,6 +150,31 @@
 	return func(s *Service) { s.promise = d }
 }
 
+// WithHealthPath sets the path of the health check.
+func WithHealthPath(path string) ServiceOption {
+	return func(s *Service) { s.healthPath = path }
+}
+
+// WithConnections sets how many connections each backend server takes from all
+// hosts together.
+func WithConnections(n int) ServiceOption {
+	return func(s *Service) { s.connections = n }
+}
+
+// WithColdRate sets how many requests a second a cold backend server bears.
+func WithColdRate(perSecond float64) ServiceOption {
+	return func(s *Service) { s.coldRate = perSecond }
+}
+
+// HealthPath returns the path of the health check.
+func (s *Service) HealthPath() string { return s.healthPath }
+
+// Connections returns how many connections a backend server takes, or 0.
+func (s *Service) Connections() int { return s.connections }
+
+// ColdRate returns how many requests a second a cold backend server bears, or 0.
+func (s *Service) ColdRate() float64 { return s.coldRate }
+
 // Name returns the service's name.
 func (s *Service) Name() string { return s.name }
 
--- a/pkg/cataloger/workspace.go
+++ b/pkg/cataloger/workspace.go
@@ -10,17 +10,44 @@
 	Origin
 	name     string
 	services []string // names of the services it may call; each exists
-	rate     float64  // requests a second over all hosts; above 0
+	rate     float64  // requests a second over all hosts; 0 for no limit
 	burst    float64  // requests admitted at once over all hosts; at least 1
 	weight   int      // share of scarce capacity against other workspaces; at least 1
+	priority int      // rank that goes before a route's; 0 is the most urgent
+	ranked   bool     // priority is set
+	homes    []string // regions its requests may run in; empty means all
+}
+
+// WorkspaceOption sets one property of a workspace under construction.
+type WorkspaceOption func(*Workspace)
+
+// WithHomes sets the regions that the workspace's requests may run in.
+func WithHomes(regions []string) WorkspaceOption {
+	return func(w *Workspace) { w.homes = regions }
+}
+
+// WithPriority sets a rank that goes before that of routes; 0 is the most
+// urgent.
+func WithPriority(priority int) WorkspaceOption {
+	return func(w *Workspace) { w.priority, w.ranked = priority, true }
 }
 
 // NewWorkspace returns a tenant with its rate in requests a second and burst in
-// requests.
-func NewWorkspace(origin Origin, name string, services []string, rate, burst float64, weight int) *Workspace {
-	return &Workspace{Origin: origin, name: name, services: services, rate: rate, burst: burst, weight: weight}
+// requests. A rate of 0 means no limit.
+func NewWorkspace(origin Origin, name string, services []string, rate, burst float64, weight int, options ...WorkspaceOption) *Workspace {
+	w := &Workspace{Origin: origin, name: name, services: services, rate: rate, burst: burst, weight: weight}
+	for _, option := range options {
+		option(w)
+	}
+	return w
 }
 
+// Homes returns the regions its requests may run in, or none for all.
+func (w *Workspace) Homes() []string { return w.homes }
+
+// Priority returns the workspace's rank, and false when routes' own ranks hold.
+func (w *Workspace) Priority() (int, bool) { return w.priority, w.ranked }
+
 // Name returns the workspace's name.
 func (w *Workspace) Name() string { return w.name }
 
--- /dev/null
+++ b/pkg/divider/divider.go
@@ -0,0 +1,179 @@
+// Package divider holds a host's part of limits that all hosts share. The parts
+// follow demand, as the hosts tell one another, and add up to the limit also
+// when some of them cannot reach one another. It does no I/O.
+//
+// It answers a workspace that sends several times its rate to all hosts at
+// once, and callers that move between hosts.
+package divider
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"magnoliahill.example/magnoliahill/pkg/limiter"
+)
+
+const (
+	floorShare  = 0.5                    // part of a limit that is divided evenly and never moves
+	demandShare = 0.4                    // weight of a new sample of demand
+	leastSample = 100 * time.Millisecond // shorter spans say little of a rate
+	idleDemand  = 0.02                   // an idle host counts with this share of an even part
+	startTokens = 0.25                   // share of its burst that a host starts with: it may have been here before
+)
+
+// Limit is a rate that all hosts share.
+type Limit struct {
+	Name  string
+	Rate  float64 // requests a second over all hosts; above 0
+	Burst float64 // requests at once over all hosts
+}
+
+// part is this host's part of one limit.
+type part struct {
+	limit  Limit
+	bucket *limiter.Bucket
+	asked  int     // requests since the last sample
+	demand float64 // requests a second, a moving average
+	others float64 // demand of the other hosts that were heard of
+}
+
+// Divider holds the parts of one host. It is safe for concurrent use.
+type Divider struct {
+	mu      sync.Mutex
+	parts   map[string]*part
+	hosts   int // that may take part, reachable or not; at least 1
+	heard   int // that were heard of lately, the own one included; 1 to hosts
+	sampled time.Duration
+	overage float64 // share by which the sum may exceed each limit
+}
+
+// New returns a divider without limits for a host that counts on some hosts.
+// The parts of all hosts add up to the limit and an overage.
+func New(hosts int, overage float64) *Divider {
+	return &Divider{parts: map[string]*part{}, hosts: max(hosts, 1), heard: 1, overage: overage}
+}
+
+// SetLimits replaces the limits. Parts of those that stay keep their tokens.
+func (d *Divider) SetLimits(now time.Duration, limits []Limit) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	parts := make(map[string]*part, len(limits))
+	for _, limit := range limits {
+		p := d.parts[limit.Name]
+		if p == nil {
+			p = &part{}
+		}
+		p.limit = limit
+		d.resize(now, p)
+		parts[limit.Name] = p
+	}
+	d.parts = parts
+}
+
+// SetOthers takes in how many hosts may take part, how many were heard of, and
+// what demand the others among these told.
+func (d *Divider) SetOthers(now time.Duration, hosts, heard int, demand map[string]float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hosts = max(hosts, heard, 1)
+	d.heard = max(heard, 1)
+	span := now - d.sampled
+	for name, p := range d.parts {
+		if span >= leastSample {
+			p.sample(span)
+		}
+		p.others = demand[name]
+		d.resize(now, p)
+	}
+	if span >= leastSample {
+		d.sampled = now
+	}
+}
+
+func (p *part) sample(span time.Duration) {
+	rate := float64(p.asked) / span.Seconds()
+	p.demand += demandShare * (rate - p.demand)
+	p.asked = 0
+}
+
+// share returns the host's share of a limit. Hosts that cannot hear one another
+// take no more than their even parts together.
+func (d *Divider) share(p *part) float64 {
+	even := 1 / float64(d.hosts)
+	idle := idleDemand * p.limit.Rate * even
+	own := p.demand + idle
+	all := p.demand + p.others + idle*float64(d.heard)
+	moved := float64(d.heard) * even * own / all
+	return floorShare*even + (1-floorShare)*moved
+}
+
+func (d *Divider) resize(now time.Duration, p *part) {
+	share := d.share(p) * (1 + d.overage)
+	amount := limiter.Amount{
+		Rate:     int64(share * p.limit.Rate * float64(limiter.Unit)),
+		Capacity: max(int64(share*p.limit.Burst*float64(limiter.Unit)), limiter.Unit),
+	}
+	tokens := int64(startTokens * float64(amount.Capacity))
+	if p.bucket != nil {
+		if p.bucket.Amount() == amount {
+			return
+		}
+		tokens = p.bucket.Tokens(now)
+	}
+	p.bucket = limiter.NewBucket(amount, tokens, now)
+}
+
+// Take charges one request to a limit. If it is used up, the duration says when
+// there will be room. Limits that are not known are not held.
+func (d *Divider) Take(now time.Duration, name string) (bool, time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.parts[name]
+	if p == nil {
+		return true, 0
+	}
+	p.asked++
+	if p.bucket.Take(now, limiter.Unit) {
+		return true, 0
+	}
+	wait, ok := p.bucket.Wait(now, limiter.Unit)
+	if !ok {
+		wait = time.Second
+	}
+	return false, wait
+}
+
+// Refund gives back the charge for a request that no backend server ran.
+func (d *Divider) Refund(now time.Duration, name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p := d.parts[name]; p != nil {
+		p.bucket.Refund(now, limiter.Unit)
+	}
+}
+
+// Demand returns what the host was asked for lately, in requests a second.
+func (d *Divider) Demand() map[string]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	demand := make(map[string]float64, len(d.parts))
+	for name, p := range d.parts {
+		if rounded := math.Round(p.demand*10) / 10; rounded > 0 {
+			demand[name] = rounded
+		}
+	}
+	return demand
+}
+
+// Part returns the host's part of a limit in requests a second, and its tokens.
+func (d *Divider) Part(now time.Duration, name string) (rate, tokens float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.parts[name]
+	if p == nil {
+		return 0, 0
+	}
+	unit := float64(limiter.Unit)
+	return float64(p.bucket.Amount().Rate) / unit, float64(p.bucket.Tokens(now)) / unit
+}
--- /dev/null
+++ b/pkg/greeter/greeter.go
@@ -0,0 +1,243 @@
+// Package greeter decides which hosts send one another heartbeats, and keeps
+// what they tell of demand. Hosts of an availability zone greet one another; two
+// of each zone, drawn by rendezvous, also greet two of each other zone and pass
+// on what they hear. It does no I/O and is not safe for concurrent use.
+package greeter
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"magnoliahill.example/magnoliahill/pkg/tracker"
+)
+
+const (
+	dutyName   = "greet"
+	dutyHosts  = 2               // of each zone that greet other zones: one may fail
+	recordLife = 3 * time.Second // demand that was not renewed for so long is forgotten
+)
+
+// Contact is a host that is registered, live or not.
+type Contact struct {
+	Name    string
+	Zone    string
+	Control string // host:port
+	Data    string // host:port
+}
+
+// Letter is a greeting to be sent.
+type Letter struct {
+	Control string // the recipient's control address
+	Name    string // the recipient; "" for a seed
+	Foreign bool   // the recipient is in another zone
+	Full    bool   // with whole heartbeats: the recipient may not know all hosts
+}
+
+// Record is the demand of a host or of a whole zone, by limit.
+type Record struct {
+	Scope   string // "host/" or "zone/" and the name
+	Demands map[string]float64
+}
+
+type kept struct {
+	record Record
+	at     time.Duration
+	direct bool // from the scope's own hosts; only such records are passed on
+}
+
+// Greeter plans the greetings of one host.
+type Greeter struct {
+	self     string
+	zone     string
+	tracker  *tracker.Tracker
+	contacts map[string]Contact
+	seeds    []string
+	digests  map[string]uint64 // of the hosts that others know, by name
+	records  map[string]kept
+}
+
+// New returns a greeter of a host that knows no others.
+func New(self, zone string, t *tracker.Tracker, seeds []string) *Greeter {
+	return &Greeter{
+		self: self, zone: zone, tracker: t, seeds: seeds,
+		contacts: map[string]Contact{},
+		digests:  map[string]uint64{},
+		records:  map[string]kept{},
+	}
+}
+
+// SetSeeds replaces the addresses that are tried when no host is known.
+func (g *Greeter) SetSeeds(seeds []string) { g.seeds = seeds }
+
+// SetContacts replaces the registered hosts.
+func (g *Greeter) SetContacts(contacts []Contact) {
+	g.contacts = make(map[string]Contact, len(contacts))
+	for _, c := range contacts {
+		g.contacts[c.Name] = c
+	}
+}
+
+// Heard takes in a greeting from a host of a zone.
+func (g *Greeter) Heard(now time.Duration, from, zone string, digest uint64, records []Record) {
+	g.digests[from] = digest
+	for _, r := range records {
+		if r.Scope == scopeHost(g.self) || r.Scope == scopeZone(g.zone) {
+			continue
+		}
+		direct := r.Scope == scopeHost(from) || r.Scope == scopeZone(zone)
+		known, ok := g.records[r.Scope]
+		if ok && known.direct && !direct && now-known.at < recordLife {
+			continue
+		}
+		g.records[r.Scope] = kept{record: r, at: now, direct: direct}
+	}
+}
+
+// Forget makes the next greeting to a host a full one.
+func (g *Greeter) Forget(name string) { delete(g.digests, name) }
+
+// known returns all other hosts, live ones first in each zone.
+func (g *Greeter) known(now time.Duration) map[string][]tracker.Host {
+	hosts := g.tracker.Known(now)
+	seen := map[string]bool{g.self: true}
+	byZone := map[string][]tracker.Host{}
+	for _, host := range hosts {
+		seen[host.ID.Name] = true
+		byZone[host.Zone] = append(byZone[host.Zone], host)
+	}
+	for _, c := range g.contacts {
+		if seen[c.Name] {
+			continue
+		}
+		beat := tracker.Beat{ID: tracker.HostID{Name: c.Name}, Zone: c.Zone, Control: c.Control, Data: c.Data}
+		byZone[c.Zone] = append(byZone[c.Zone], tracker.Host{Beat: beat, Silent: now})
+	}
+	return byZone
+}
+
+// Letters returns the greetings that are due.
+func (g *Greeter) Letters(now time.Duration) []Letter {
+	byZone := g.known(now)
+	digest := g.tracker.Digest(now)
+	var letters []Letter
+	for _, host := range byZone[g.zone] {
+		letters = append(letters, g.letter(host, digest, false))
+	}
+	if g.onDuty(now) {
+		for zone, hosts := range byZone {
+			if zone == g.zone {
+				continue
+			}
+			for _, host := range g.drawn(now, hosts) {
+				letters = append(letters, g.letter(host, digest, true))
+			}
+		}
+	}
+	if len(letters) == 0 || len(g.tracker.Live(now)) == 1 {
+		for _, seed := range g.seeds {
+			letters = append(letters, Letter{Control: seed, Foreign: true, Full: true})
+		}
+	}
+	sort.Slice(letters, func(i, j int) bool { return letters[i].Control < letters[j].Control })
+	return letters
+}
+
+func (g *Greeter) letter(host tracker.Host, digest uint64, foreign bool) Letter {
+	heard, ok := g.digests[host.ID.Name]
+	return Letter{Control: host.Control, Name: host.ID.Name, Foreign: foreign, Full: !ok || heard != digest}
+}
+
+// onDuty reports whether this host greets other zones.
+func (g *Greeter) onDuty(now time.Duration) bool {
+	var own []tracker.Host
+	for _, host := range g.tracker.Live(now) {
+		if host.Zone == g.zone {
+			own = append(own, host)
+		}
+	}
+	return tracker.Holds(dutyName, own, g.self, dutyHosts)
+}
+
+// drawn returns the hosts on duty of another zone: from the live ones, or from
+// all when none is live.
+func (g *Greeter) drawn(now time.Duration, hosts []tracker.Host) []tracker.Host {
+	live := map[string]bool{}
+	for _, host := range g.tracker.Live(now) {
+		live[host.ID.Name] = true
+	}
+	var candidates []tracker.Host
+	for _, host := range hosts {
+		if live[host.ID.Name] {
+			candidates = append(candidates, host)
+		}
+	}
+	if len(candidates) == 0 {
+		candidates = hosts
+	}
+	ranked := tracker.Rank(dutyName, candidates)
+	return ranked[:min(dutyHosts, len(ranked))]
+}
+
+// Records returns what to tell of demand: to hosts of the own zone what each
+// host and other zone asks for, to other zones the sum of the own zone.
+func (g *Greeter) Records(now time.Duration, own map[string]float64, foreign bool) []Record {
+	if foreign {
+		return []Record{{Scope: scopeZone(g.zone), Demands: g.zoneSum(now, own)}}
+	}
+	records := []Record{{Scope: scopeHost(g.self), Demands: own}}
+	if !g.onDuty(now) {
+		return records
+	}
+	for scope, k := range g.records {
+		if strings.HasPrefix(scope, zoneScope) && k.direct && now-k.at < recordLife {
+			records = append(records, k.record)
+		}
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].Scope < records[j].Scope })
+	return records
+}
+
+func (g *Greeter) zoneSum(now time.Duration, own map[string]float64) map[string]float64 {
+	sum := map[string]float64{}
+	add(sum, own)
+	for scope, k := range g.records {
+		if strings.HasPrefix(scope, hostScope) && now-k.at < recordLife {
+			add(sum, k.record.Demands)
+		}
+	}
+	return sum
+}
+
+// Others returns the demand of all other hosts that were heard of lately.
+func (g *Greeter) Others(now time.Duration) map[string]float64 {
+	sum := map[string]float64{}
+	for scope, k := range g.records {
+		if now-k.at >= recordLife {
+			delete(g.records, scope)
+			continue
+		}
+		add(sum, k.record.Demands)
+	}
+	return sum
+}
+
+func add(sum, more map[string]float64) {
+	for name, value := range more {
+		sum[name] += value
+	}
+}
+
+const (
+	hostScope = "host/"
+	zoneScope = "zone/"
+)
+
+// ValidScope reports whether a record's scope names a host or a zone.
+func ValidScope(scope string) bool {
+	return strings.HasPrefix(scope, hostScope) || strings.HasPrefix(scope, zoneScope)
+}
+
+func scopeHost(name string) string { return hostScope + name }
+
+func scopeZone(name string) string { return zoneScope + name }
