follower: renew watches about once a second over all hosts

Cause: after the store dropped its history a watch kept waiting and never heard anything more; nothing renewed it for up to 25 s. Ruled out: a watch that ends without events but moves on past changes (logged: none did); lost greetings (the others were just as deaf).

A watch now lasts one second for each host in touch, 3 to 25 s, so that some host finds out within about a second and the others hear of it by its greeting.

Price: about 4 calls a second over all hosts.

--- a/internal/conductor/loop.go
+++ b/internal/conductor/loop.go
@@ -48,7 +48,6 @@
 	swept     time.Duration
 	asking    bool // another host is being asked for objects
 	written   bool // the own registration stands in the store
-	steered   uint64
 }
 
 // message is one input of the loop.
@@ -378,6 +377,9 @@
 func (l *loop) share(now time.Duration) {
 	l.count(now)
 	live := l.tracker.Live(now)
+	for _, f := range l.followers {
+		f.SetHosts(len(live))
+	}
 	l.conductor.divider.SetOthers(now, l.hosts, len(live), l.greeter.Others(now))
 	l.conductor.steer(live)
 }
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -23,7 +23,7 @@
 const (
 	maxDatagram = 60 << 10               // bytes
 	askTimeout  = 800 * time.Millisecond // for another host's objects
-	behindFor   = 700 * time.Millisecond // a watch that others are ahead of for so long is silent
+	behindFor   = 400 * time.Millisecond // a watch that others are ahead of for so long is silent; a slow store takes 240 ms
 )
 
 // greet sends the heartbeats that are due.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,7 +16,9 @@
 
 const (
 	listTimeout = 1500 * time.Millisecond // a store slowed sixty times answers in 240 ms
-	watchWait   = 25 * time.Second        // the platform ends a watch after 30 s
+	longestWait = 25 * time.Second        // the platform ends a watch after 30 s
+	waitPerHost = time.Second             // so that a watch of some host is renewed about every second
+	leastWait   = 3 * time.Second         // a host on its own notices a deaf watch in this time
 	watchSlack  = 1500 * time.Millisecond // for the way and a slow store
 	settle      = 150 * time.Millisecond  // changes that come together are taken in one call
 	firstRetry  = 100 * time.Millisecond
@@ -42,11 +45,21 @@
 	kind   string
 	tell   func(News)
 	nudge  chan struct{} // buffered; ends a watch that is behind
+	wait   atomic.Int64  // nanoseconds that a watch lasts
 }
 
 // New returns a follower that tells its news to a function, in order.
 func New(source Source, kind string, tell func(News)) *Follower {
-	return &Follower{source: source, kind: kind, tell: tell, nudge: make(chan struct{}, 1)}
+	f := &Follower{source: source, kind: kind, tell: tell, nudge: make(chan struct{}, 1)}
+	f.SetHosts(1)
+	return f
+}
+
+// SetHosts sets how long watches last, by how many hosts tell one another of
+// changes. A store that drops its history may leave a watch waiting that will
+// never hear anything; the host whose watch ends first finds out for all.
+func (f *Follower) SetHosts(n int) {
+	f.wait.Store(int64(min(max(time.Duration(n)*waitPerHost, leastWait), longestWait)))
 }
 
 // Nudge makes the follower list again, since its watch has fallen silent while
@@ -104,7 +117,8 @@
 var errNudged = errors.New("watch was behind")
 
 func (f *Follower) watchOnce(ctx context.Context, revision int64) (keeper.Table, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	wait := jitter(time.Duration(f.wait.Load()))
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	done := make(chan struct{})
 	defer close(done)
@@ -115,14 +129,14 @@
 		case <-done:
 		}
 	}()
-	table, err := f.source.Watch(ctx, f.kind, revision, watchWait)
+	table, err := f.source.Watch(ctx, f.kind, revision, wait)
 	if ctx.Err() != nil {
 		return keeper.Table{}, errNudged
 	}
 	return table, err
 }
 
-// jitter spreads hosts that lost the store together.
+// jitter spreads the calls of hosts that began together.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
 }
