divider: let a rise in demand count only once the others know of it

Cause: each host measured a rise of its own demand at once and set it against what the others had told before the rise. Ruled out: the tokens that hosts start with (a quarter of the burst once, 20 requests here), hosts that are cut off (they hold even parts).

A host's claim is the lowest demand that it told in the last three rounds.

--- a/internal/conductor/loop.go
+++ b/internal/conductor/loop.go
@@ -163,6 +163,7 @@
 		if l.catalog != nil && catalog.Generation() <= l.catalog.Generation() {
 			continue
 		}
+		logRates(l.catalog, catalog)
 		l.catalog = catalog
 		l.adopted = now
 		klog.InfoS("configuration adopted", "config", catalog.Generation(), "revision", item.Revision(),
@@ -173,6 +174,20 @@
 	}
 }
 
+// logRates writes a line for each workspace whose rate changed.
+func logRates(before, after *cataloger.Catalog) {
+	for _, w := range after.Workspaces() {
+		var old *cataloger.Workspace
+		if before != nil {
+			old = before.Workspace(w.Name())
+		}
+		if old == nil || old.Rate() != w.Rate() || old.Burst() != w.Burst() {
+			klog.InfoS("rate of workspace", "workspace", w.Name(), "rate", w.Rate(), "burst", w.Burst(),
+				"homes", w.Homes(), "config", after.Generation())
+		}
+	}
+}
+
 // register takes in registrations of backend servers.
 func (l *loop) register(now time.Duration, changes *keeper.Table) {
 	items := l.tables[l.kinds.Servers].items
--- a/pkg/divider/divider.go
+++ b/pkg/divider/divider.go
@@ -19,6 +19,7 @@
 	demandShare = 0.4                    // weight of a new sample of demand
 	leastSample = 100 * time.Millisecond // shorter spans say little of a rate
 	idleDemand  = 0.02                   // an idle host counts with this share of an even part
+	toldRounds  = 3                      // rounds after which all hosts know what one told: it may pass two others
 	startTokens = 0.25                   // share of its burst that a host starts with: it may have been here before
 )
 
@@ -33,9 +34,10 @@
 type part struct {
 	limit  Limit
 	bucket *limiter.Bucket
-	asked  int     // requests since the last sample
-	demand float64 // requests a second, a moving average
-	others float64 // demand of the other hosts that were heard of
+	asked  int                 // requests since the last sample
+	demand float64             // requests a second, a moving average
+	told   [toldRounds]float64 // what the demand was in the latest rounds, oldest first
+	others float64             // demand of the other hosts that were heard of
 }
 
 // Divider holds the parts of one host. It is safe for concurrent use.
@@ -95,6 +97,19 @@
 	rate := float64(p.asked) / span.Seconds()
 	p.demand += demandShare * (rate - p.demand)
 	p.asked = 0
+	copy(p.told[:], p.told[1:])
+	p.told[toldRounds-1] = p.demand
+}
+
+// claim returns the demand that the host's share follows. A rise counts only
+// once the others have heard of it: if each host acted on its own rise at once,
+// while it still believed the others to be as before, all shares would rise.
+func (p *part) claim() float64 {
+	claim := p.demand
+	for _, told := range p.told {
+		claim = min(claim, told)
+	}
+	return claim
 }
 
 // share returns the host's share of a limit. Hosts that cannot hear one another
@@ -102,8 +117,8 @@
 func (d *Divider) share(p *part) float64 {
 	even := 1 / float64(d.hosts)
 	idle := idleDemand * p.limit.Rate * even
-	own := p.demand + idle
-	all := p.demand + p.others + idle*float64(d.heard)
+	own := p.claim() + idle
+	all := p.claim() + p.others + idle*float64(d.heard)
 	moved := float64(d.heard) * even * own / all
 	return floorShare*even + (1-floorShare)*moved
 }
