conductor: take late requests of a planned stop only if they surely end

Ruled out: the listener's shutdown (the request had been read and sent on).

All requests are taken for 45% of the grace; after that only those whose time limit ends before the process does. What still runs at the end gets its final answer (502) instead of a closed connection.

--- a/internal/carrier/call.go
+++ b/internal/carrier/call.go
@@ -100,7 +100,7 @@
 		return admitter.NotRun(http.StatusNotFound, marker.ReasonNoService, "no route is for this host and path", 0)
 	}
 	c.setDeadline()
-	if c.view.phase == Leaving && c.view.ends-c.began < min(c.route.Timeout(), 2*c.route.Goal()) {
+	if !c.view.takes(c.began, c.deadline-c.began) {
 		return unavailable(marker.ReasonStopping, "the host is stopping, use another", stoppingWait)
 	}
 	if limit := c.view.catalog.CallerLimits().BodyBytes(); limit > 0 && c.r.ContentLength > limit {
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -42,12 +42,23 @@
 	catalog *cataloger.Catalog // nil before the first configuration
 	phase   Phase
 	since   time.Duration // when the configuration was adopted
-	ends    time.Duration // when the process will end; 0 unless it is stopping
+	stop    Stop
+}
+
+// Stop is when a planned stop runs its course; zero unless the host stops.
+type Stop struct {
+	Takes time.Duration // until then all requests are taken
+	Ends  time.Duration // by then all of them are answered; later ones are taken only if they surely are
 }
 
 // NewView returns a view of a configuration adopted at a time.
-func NewView(catalog *cataloger.Catalog, phase Phase, since, ends time.Duration) *View {
-	return &View{catalog: catalog, phase: phase, since: since, ends: ends}
+func NewView(catalog *cataloger.Catalog, phase Phase, since time.Duration, stop Stop) *View {
+	return &View{catalog: catalog, phase: phase, since: since, stop: stop}
+}
+
+// takes reports whether a request that may last for a while is still taken.
+func (v *View) takes(now, lasts time.Duration) bool {
+	return v.phase != Leaving || now <= v.stop.Takes || now+lasts <= v.stop.Ends
 }
 
 // Dialect reads and writes header values as the deployment spells them.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -74,6 +74,8 @@
 	metrics   string                             // host:port of the metrics listener; may be empty
 	reload    func() (*loader.Deployment, error) // reads the settings again; nil when they have no file
 	servers   []*http.Server
+	base      context.Context // of all requests
+	abort     func()          // gives all requests that run their final answer
 	udp       *net.UDPConn
 }
 
@@ -105,6 +107,7 @@
 	c.exchanger = exchanger.New(words)
 	c.carrier = carrier.New(words, platform, c.clock, c.divider, c.placer, c.exchanger, c.recorder,
 		carrier.WithRetries(retries(settings, settings.Expected)))
+	c.base, c.abort = context.WithCancel(context.Background())
 	c.loop = newLoop(c)
 	return c
 }
@@ -156,6 +159,7 @@
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeader,
 			ErrorLog:          quietLog(),
+			BaseContext:       func(net.Listener) context.Context { return c.base },
 		}
 		c.servers = append(c.servers, server)
 		go serve(server, listener)
--- a/internal/conductor/loop.go
+++ b/internal/conductor/loop.go
@@ -42,8 +42,8 @@
 	adopted   time.Duration // when the catalog was
 	evacuated []string
 	phase     carrier.Phase
-	ends      time.Duration // when the process will end; 0 unless it is stopping
-	hosts     int           // that may send requests, this one included
+	stop      carrier.Stop
+	hosts     int // that may send requests, this one included
 	greeted   time.Duration
 	swept     time.Duration
 	asking    bool // another host is being asked for objects
@@ -365,7 +365,7 @@
 		l.tracker.SetState(tracker.Serving)
 		klog.InfoS("host serves", "config", l.catalog.Generation())
 	}
-	l.conductor.carrier.SetView(carrier.NewView(l.catalog, l.phase, l.adopted, l.ends))
+	l.conductor.carrier.SetView(carrier.NewView(l.catalog, l.phase, l.adopted, l.stop))
 	l.conductor.ready.Store(l.phase == carrier.Serving)
 }
 
--- a/internal/conductor/stop.go
+++ b/internal/conductor/stop.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	stopMargin  = 400 * time.Millisecond // before the platform ends the process
-	finishSpan  = 300 * time.Millisecond // at the end nothing new is taken
+	stopMargin  = 300 * time.Millisecond // before the platform ends the process
+	finishSpan  = 200 * time.Millisecond // at the end nothing new is taken, and what runs gets a final answer
+	takesShare  = 0.45                   // part of the span in which all requests are taken: half of it is safe
 	stopLook    = 50 * time.Millisecond
 	stopLinger  = 500 * time.Millisecond // callers may be this late with a look-up answer
 	closingSpan = 150 * time.Millisecond
@@ -21,14 +22,14 @@
 // leaving starts a planned stop.
 type leaving struct {
 	phase carrier.Phase
-	ends  time.Duration
+	stop  carrier.Stop
 }
 
 func (m *leaving) apply(l *loop, now time.Duration) {
 	l.phase = m.phase
-	l.ends = m.ends
+	l.stop = m.stop
 	l.tracker.SetState(tracker.Leaving)
-	klog.InfoS("host stops", "phase", m.phase, "running", l.conductor.carrier.Running(), "left", m.ends-now)
+	klog.InfoS("host stops", "phase", m.phase, "running", l.conductor.carrier.Running(), "left", m.stop.Ends-now)
 	l.publish()
 	l.greet(now)
 }
@@ -50,19 +51,15 @@
 // runs, and leaves.
 func (c *Conductor) stop() {
 	began := c.clock.Now()
-	ends := began + c.settings.Grace - stopMargin
-	c.loop.send(&leaving{phase: carrier.Leaving, ends: ends})
-	quiet := min(began+lookupTTL+stopLinger, ends-finishSpan)
-	for now := c.clock.Now(); now < ends-finishSpan; now = c.clock.Now() {
-		if now >= quiet && c.carrier.Running() == 0 {
-			break
-		}
-		time.Sleep(stopLook)
-	}
-	c.loop.send(&leaving{phase: carrier.Finishing, ends: ends})
-	for c.clock.Now() < ends && c.carrier.Running() > 0 {
-		time.Sleep(stopLook)
+	stop := carrier.Stop{
+		Takes: began + time.Duration(takesShare*float64(c.settings.Grace)),
+		Ends:  began + c.settings.Grace - stopMargin - finishSpan,
 	}
+	c.loop.send(&leaving{phase: carrier.Leaving, stop: stop})
+	c.rest(stop.Ends, min(began+lookupTTL+stopLinger, stop.Ends))
+	c.loop.send(&leaving{phase: carrier.Finishing, stop: stop})
+	c.abort()
+	c.rest(stop.Ends+finishSpan, 0)
 	bye := &farewell{done: make(chan struct{})}
 	c.loop.send(bye)
 	<-bye.done
@@ -80,6 +77,16 @@
 	klog.Flush()
 }
 
+// rest waits until a time, or until nothing runs after an earlier one.
+func (c *Conductor) rest(until, quiet time.Duration) {
+	for now := c.clock.Now(); now < until; now = c.clock.Now() {
+		if now >= quiet && c.carrier.Running() == 0 {
+			return
+		}
+		time.Sleep(stopLook)
+	}
+}
+
 // reloadOn reads the settings again on each hang-up signal, and now and then
 // without one.
 func (c *Conductor) reloadOn(ctx context.Context, hangUps <-chan struct{}) {
