placer: refuse what would be late and wait, send spill to spare regions

A request that would miss its goal is taken only if it waits at most 0.3 of the goal; else it is refused at once with the excess as Retry-After. Objects that a region cannot bear go to regions with slots to spare, by slots of registrations alone.

--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -9,7 +9,9 @@
 	betweenRegions = 40 * time.Millisecond  // there and back between regions of both deployments
 	betweenZones   = 2 * time.Millisecond   // the same between zones of a region
 	failureCost    = 2.0                    // a failure costs so many times the latency goal
+	copies         = 1                      // servers of an object that are taken to have it warm
 	stayMargin     = 0.85                   // a later server must cost less than this share of an earlier one
+	lateWait       = 0.3                    // a request that will be late waits at most this share of its goal
 	noServerWait   = 500 * time.Millisecond // registrations change about so often when servers come back
 	longestWait    = 2 * time.Second
 )
@@ -73,20 +75,27 @@
 	cost   time.Duration
 }
 
-// best returns the cheapest server that may be used. Servers that were ejected
-// are used only when there is no other.
-func (c *choice) best() (candidate, bool) {
+// best returns the cheapest server that may be used. Without one the duration
+// says by how much the request would wait too long there, and is 0 when no
+// server may be used at all. A request that finds the queue too long at its best
+// server is not sent to one where it would run cold: that takes several times
+// the work, which is short just then. Servers that were ejected are used only
+// when there is no other.
+func (c *choice) best() (candidate, bool, time.Duration) {
 	key := objectKey{c.query.Route, c.query.Object}
 	candidates := c.candidates(key)
 	for len(candidates) > 0 {
 		i := cheapest(candidates)
 		found := candidates[i]
+		if excess := c.excess(found); excess > 0 {
+			return candidate{}, false, excess
+		}
 		if c.placer.allows(c.now, found.server) {
-			return found, true
+			return found, true, 0
 		}
 		candidates = slices.Delete(candidates, i, i+1)
 	}
-	return candidate{}, false
+	return candidate{}, false, 0
 }
 
 func cheapest(candidates []candidate) int {
@@ -166,13 +175,10 @@
 
 func (c *choice) candidate(key objectKey, s *server, rank int) candidate {
 	slow := s.slowness(c.now)
-	run := time.Duration(slow * float64(c.times.expected(rank == 0 || s.warm(c.now, key))))
+	run := time.Duration(slow * float64(c.times.expected(rank < copies || s.warm(c.now, key))))
 	wait := time.Duration(slow * float64(c.waitAt(s)))
 	failures := time.Duration(failureCost * s.failing(c.now) * float64(c.query.Goal))
-	return candidate{
-		server: s, rank: rank, run: run, wait: wait,
-		cost: c.distance(s) + wait + run + failures,
-	}
+	return candidate{server: s, rank: rank, run: run, wait: wait, cost: c.distance(s) + wait + run + failures}
 }
 
 // waitAt returns how long a request would wait for a slot.
@@ -194,6 +200,23 @@
 	return 0
 }
 
+// excess returns by how much a request would wait too long, or 0 when it is to
+// be taken. An answer that comes late anyway is not worth a long queue: what
+// waits behind it would be late as well, and a queue that has grown long makes
+// all answers late for as long as it lasts. So a request that would miss its
+// goal is taken only when it hardly waits.
+func (c *choice) excess(found candidate) time.Duration {
+	if found.wait > c.query.Left-found.run/2 {
+		return found.wait
+	}
+	onTime := found.wait+found.run+c.distance(found.server) <= c.query.Goal
+	bearable := time.Duration(lateWait * float64(c.query.Goal))
+	if onTime || found.wait <= bearable {
+		return 0
+	}
+	return found.wait - bearable
+}
+
 func (c *choice) take(found candidate) Pick {
 	s := found.server
 	load := s.load(c.now)
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -196,14 +196,14 @@
 		return Pick{}, NoServer, noServerWait
 	}
 	c := &choice{placer: p, pool: pool, now: now, query: q, times: p.routeTimes(q)}
-	best, found := c.best()
-	if !found {
-		return Pick{}, NoServer, noServerWait
-	}
-	if best.wait > q.Left {
-		return Pick{}, NoRoom, min(best.wait-q.Left, longestWait)
-	}
-	return c.take(best), Chosen, 0
+	best, found, excess := c.best()
+	switch {
+	case found:
+		return c.take(best), Chosen, 0
+	case excess > 0:
+		return Pick{}, NoRoom, min(excess, longestWait)
+	}
+	return Pick{}, NoServer, noServerWait
 }
 
 func (p *Placer) routeTimes(q Query) *times {
--- a/pkg/placer/pool.go
+++ b/pkg/placer/pool.go
@@ -16,32 +16,35 @@
 	regions map[string]string
 	servers []*server // by id
 	slots   int
-	own     int     // slots in the host's region
-	nearby  float64 // share of objects that are served in the host's region first
+	room    map[string]int     // slots by region
+	nearby  float64            // share of objects that are served in the host's region first
+	spare   map[string]float64 // weight of each region for the other objects
 	orders  map[objectKey]*order
 }
 
 // order is the servers of an object, best first.
 type order struct {
-	all  []*server
+	all  []*server // weighted by the room that regions can spare
 	near []*server // those in the host's region, first of them only
 	home bool      // near goes before all
 }
 
 func newPool(place Place, regions map[string]string) *pool {
-	return &pool{place: place, regions: regions, orders: map[objectKey]*order{}}
+	return &pool{
+		place: place, regions: regions,
+		room: map[string]int{}, spare: map[string]float64{}, orders: map[objectKey]*order{},
+	}
 }
 
 func (p *pool) add(s *server) {
 	p.servers = append(p.servers, s)
 	p.slots += s.Slots()
-	if s.region == p.place.Region {
-		p.own += s.Slots()
-	}
+	p.room[s.region] += s.Slots()
 }
 
-// finish works out which share of the objects the host's region can bear, if
-// all regions have about the same demand.
+// finish divides the demand, taken to be the same in all regions, among the
+// regions' slots: each region serves what it can of its own, and the rest goes
+// to where room is left.
 func (p *pool) finish() {
 	sort.Slice(p.servers, func(i, j int) bool { return p.servers[i].ID() < p.servers[j].ID() })
 	if p.slots == 0 {
@@ -51,9 +54,18 @@
 	for _, region := range p.regions {
 		regions[region] = true
 	}
-	p.nearby = min(1, float64(p.own)*float64(len(regions))/float64(p.slots))
+	even := 1 / float64(len(regions))
+	for region := range regions {
+		share := float64(p.room[region]) / float64(p.slots)
+		p.spare[region] = max(0, share-even) / max(share, leastShare)
+		if region == p.place.Region {
+			p.nearby = min(1, share/even)
+		}
+	}
 }
 
+const leastShare = 1e-6 // keeps a region without slots from dividing by 0
+
 // inherit takes over the orders of an earlier pool with the same servers.
 func (p *pool) inherit(old *pool) {
 	if len(p.servers) != len(old.servers) {
@@ -87,19 +99,31 @@
 }
 
 // ranked orders the servers by weighted rendezvous hashing (Schindelhauer and
-// Schomaker, 2005): a server comes first in proportion to its slots, and one
-// that comes or goes changes the order of no others.
+// Schomaker, 2005): a server comes first in proportion to its slots and to what
+// its region can spare, and one that comes or goes changes the order of no
+// others.
 func (p *pool) ranked(key objectKey) []*server {
 	type scored struct {
 		server *server
+		spared bool
 		score  float64
 	}
 	list := make([]scored, 0, len(p.servers))
 	for _, s := range p.servers {
 		u := unit(hash(key.route, key.object, s.ID()))
-		list = append(list, scored{s, -float64(s.Slots()) / math.Log(u)})
+		spare := p.spare[s.region]
+		weight := float64(s.Slots())
+		if spare > 0 {
+			weight *= spare
+		}
+		list = append(list, scored{s, spare > 0, -weight / math.Log(u)})
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].score > list[j].score })
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].spared != list[j].spared {
+			return list[i].spared
+		}
+		return list[i].score > list[j].score
+	})
 	ranked := make([]*server, 0, len(list))
 	for _, one := range list {
 		ranked = append(ranked, one.server)
