conductor: one host of a zone watches the store, the others learn from it

Found on the way: hosts that started in the same microsecond drew the same incarnation and were taken for one another (heartbeats seemed lost; TestIncarnationsDiffer); heartbeats left every 500 or 750 ms by the jitter of the tick; positions that mixed the store's revision with the objects' own sent hosts to the list again and again.

Hosts fetch changes from the watching host of their zone at its greeting, watch themselves when none was heard of for 1.7 s, and renew by the number of zones. Changes that come within 0.7 s are taken in one call.

In TestChangesAreToldAtOnce the expectation changed with the design: the first of several changes is told at once, the rest together, and the calls are counted.

--- a/internal/conductor/loop.go
+++ b/internal/conductor/loop.go
@@ -19,11 +19,13 @@
 )
 
 const (
-	inboxSize   = 256                    // messages waiting for the loop
-	tick        = 250 * time.Millisecond // between two looks at what is due
-	greetEvery  = 500 * time.Millisecond // between heartbeats
-	silence     = 1700 * time.Millisecond
+	inboxSize   = 256                     // messages waiting for the loop
+	tick        = 250 * time.Millisecond  // between two looks at what is due
+	greetEvery  = 500 * time.Millisecond  // between heartbeats
+	unserved    = 1700 * time.Millisecond // without a watching host for so long, this one watches itself
+	silence     = 2200 * time.Millisecond // four heartbeats: datagrams are lost now and then
 	sweepEvery  = 2 * time.Second
+	manyHosts   = 1000            // so many hosts renew their watches as seldom as may be
 	reloadEvery = 2 * time.Second // the settings file may change without a signal
 )
 
@@ -37,6 +39,11 @@
 	registrar *registrar.Registrar
 	followers map[string]*follower.Follower
 	kinds     Kinds
+	order     []string      // the kinds, in the order that greetings name them
+	watching  bool          // this host watches the store itself
+	unwatch   func()        // ends the watches
+	servedAt  time.Duration // when a watching host of the zone was last heard of
+	work      context.Context
 	tables    map[string]*table // by kind
 	catalog   *cataloger.Catalog
 	adopted   time.Duration // when the catalog was
@@ -58,7 +65,7 @@
 func newLoop(c *Conductor) *loop {
 	kinds := c.platform.Kinds()
 	self := tracker.Beat{
-		ID:   tracker.HostID{Name: c.settings.Host, Incarnation: uint64(time.Now().UnixMicro())},
+		ID:   tracker.HostID{Name: c.settings.Host, Incarnation: tracker.NewIncarnation(time.Now())},
 		Zone: c.settings.Zone, Control: c.settings.Control, Data: c.settings.Data, State: tracker.Leaving,
 	}
 	l := &loop{
@@ -72,22 +79,59 @@
 		hosts:     c.settings.Expected,
 	}
 	l.greeter = greeter.New(c.settings.Host, c.settings.Zone, l.tracker, c.settings.Seeds)
-	for _, kind := range []string{kinds.Config, kinds.Servers, kinds.Evacuations, kinds.Hosts} {
-		l.tables[kind] = newTable()
+	l.order = []string{kinds.Config, kinds.Servers, kinds.Evacuations, kinds.Hosts}
+	for _, kind := range l.order {
+		l.tables[kind] = newTable(kind)
 		l.followers[kind] = follower.New(c.platform, kind, l.tell)
 	}
+	l.followers[kinds.Hosts].SetHosts(manyHosts)
 	return l
 }
 
 // run starts the loop and all that feeds it.
 func (l *loop) run(ctx context.Context) {
-	go l.work(ctx)
+	l.work = ctx
+	l.watch()
+	go l.turn(ctx)
+}
+
+// watch begins to watch the store.
+func (l *loop) watch() {
+	ctx, cancel := context.WithCancel(l.work)
+	l.watching, l.unwatch = true, cancel
 	for _, f := range l.followers {
 		go f.Run(ctx)
 	}
 }
 
-func (l *loop) work(ctx context.Context) {
+// duty watches the store when this host is among those that do so for the zone,
+// or when none of them is heard of. The others learn from these.
+func (l *loop) duty(now time.Duration) {
+	due := l.greeter.Watches(now) || now-l.servedAt >= unserved
+	switch {
+	case due && !l.watching:
+		klog.InfoS("host watches the store", "sinceServed", now-l.servedAt)
+		l.watch()
+	case !due && l.watching && l.knowsAll():
+		klog.InfoS("host leaves the store to others of its zone")
+		l.watching = false
+		l.unwatch()
+		for _, t := range l.tables {
+			t.lost = false
+		}
+	}
+}
+
+func (l *loop) knowsAll() bool {
+	for _, t := range l.tables {
+		if !t.known || t.lost {
+			return false
+		}
+	}
+	return l.catalog != nil
+}
+
+func (l *loop) turn(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -113,6 +157,7 @@
 func (n news) apply(l *loop, now time.Duration) {
 	t := l.tables[n.Kind]
 	switch {
+	case !l.watching: // a watch that has been ended
 	case n.Lost != nil:
 		if !t.lost {
 			t.lost = true
@@ -131,9 +176,11 @@
 		}
 		t.replace(*n.Listed)
 		l.changed(now, n.Kind, nil)
+		l.announce(now)
 	case n.Changed != nil:
 		t.change(*n.Changed)
 		l.changed(now, n.Kind, n.Changed)
+		l.announce(now)
 	}
 }
 
@@ -375,7 +422,7 @@
 		klog.InfoS("backend servers did not come back", "servers", dropped)
 		l.place(now)
 	}
-	if now-l.greeted >= greetEvery {
+	if now-l.greeted >= greetEvery-tick/2 {
 		l.greeted = now
 		l.share(now)
 		l.greet(now)
@@ -384,6 +431,7 @@
 		l.swept = now
 		l.conductor.exchanger.Sweep(time.Now())
 	}
+	l.duty(now)
 	l.askPeers(now)
 }
 
@@ -392,13 +440,24 @@
 func (l *loop) share(now time.Duration) {
 	l.count(now)
 	live := l.tracker.Live(now)
-	for _, f := range l.followers {
-		f.SetHosts(len(live))
+	for kind, f := range l.followers {
+		if kind != l.kinds.Hosts { // nothing is bound to a time there
+			f.SetHosts(watchers(live))
+		}
 	}
-	l.conductor.divider.SetOthers(now, l.hosts, len(live), l.greeter.Others(now))
+	l.conductor.divider.SetOthers(now, l.hosts, len(live), l.others(now))
 	l.conductor.steer(live)
 }
 
+// watchers returns how many of the live hosts watch the store: one in each zone.
+func watchers(live []tracker.Host) int {
+	zones := map[string]bool{}
+	for _, host := range live {
+		zones[host.Zone] = true
+	}
+	return len(zones)
+}
+
 // settingsRead is what a changed settings file holds.
 type settingsRead struct{ settings *loader.Deployment }
 
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -12,7 +12,6 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
-	"magnoliahill.example/magnoliahill/internal/keeper"
 	"magnoliahill.example/magnoliahill/internal/messenger"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1/peerv1connect"
@@ -33,18 +32,34 @@
 	}
 }
 
+// announce tells the hosts of the own zone at once of changes in the store.
+func (l *loop) announce(now time.Duration) {
+	if !l.watching {
+		return
+	}
+	for _, letter := range l.greeter.Letters(now) {
+		if !letter.Foreign {
+			l.conductor.send(letter.Control, l.greeting(now, letter))
+		}
+	}
+}
+
 func (l *loop) greeting(now time.Duration, letter greeter.Letter) *peerv1.Greeting {
 	m := &peerv1.Greeting{
-		Digest:  l.tracker.Digest(now),
-		Records: messenger.EncodeRecords(l.greeter.Records(now, l.conductor.divider.Demand(), letter.Foreign)),
+		Digest:    l.greeter.Digest(now),
+		Watching:  l.watching,
+		StoreLost: l.tables[l.kinds.Servers].lost,
+		Records:   messenger.EncodeRecords(l.greeter.Records(now, l.demand(), letter.Foreign)),
 	}
-	for kind, t := range l.tables {
-		if t.known {
-			m.Positions = append(m.Positions, &peerv1.Position{Kind: kind, Revision: t.revision})
+	for _, kind := range l.order {
+		revision := int64(0)
+		if t := l.tables[kind]; t.known {
+			revision = t.revision
 		}
+		m.Positions = append(m.Positions, revision)
 	}
 	beats := l.tracker.Beats(now)
-	m.Sender = messenger.EncodeID(beats[0].ID)
+	m.Sender = beats[0].ID.Incarnation
 	if letter.Foreign && !letter.Full {
 		beats = l.ownZone(beats)
 	}
@@ -60,6 +75,29 @@
 	return m
 }
 
+// demand returns what the host was asked for lately, by number of the limit.
+func (l *loop) demand() map[uint32]float64 {
+	named := l.conductor.divider.Demand()
+	demand := make(map[uint32]float64, len(named))
+	for name, rate := range named {
+		demand[greeter.Limit(name)] = rate
+	}
+	return demand
+}
+
+// others returns the demand that other hosts told, by name of the limit.
+func (l *loop) others(now time.Duration) map[string]float64 {
+	if l.catalog == nil {
+		return nil
+	}
+	told := l.greeter.Others(now)
+	named := make(map[string]float64, len(told))
+	for _, w := range l.catalog.Workspaces() {
+		named[w.Name()] = told[greeter.Limit(w.Name())]
+	}
+	return named
+}
+
 func (l *loop) ownZone(beats []tracker.Beat) []tracker.Beat {
 	var own []tracker.Beat
 	for _, b := range beats {
@@ -114,51 +152,45 @@
 	before := len(l.tracker.Live(now))
 	l.tracker.Heard(now, messenger.DecodeBeats(m.GetBeats())...)
 	l.tracker.HeardPulses(now, messenger.DecodePulses(m.GetPulses()))
-	from := messenger.DecodeID(m.GetSender())
-	host, known := l.tracker.Find(now, from)
+	if l.tracker.Superseded() {
+		// The platform runs one process of a host at a time: the other one is
+		// an earlier run, from before the clock was set back.
+		l.tracker.Renew()
+		klog.InfoS("incarnation renewed", "host", l.conductor.settings.Host)
+	}
+	host, known := l.tracker.FindRun(now, m.GetSender())
 	if !known {
-		l.greetBack(now, m)
-		return
+		return // it learns by the digest that this host needs whole heartbeats
 	}
-	l.greeter.Heard(now, from.Name, host.Zone, m.GetDigest(), messenger.DecodeRecords(m.GetRecords()))
-	for _, p := range m.GetPositions() {
-		if t := l.tables[p.GetKind()]; t != nil {
-			t.heard(now, p.GetRevision(), host.Control)
+	l.greeter.Heard(now, host.ID.Name, host.Zone, m.GetDigest(), messenger.DecodeRecords(m.GetRecords()))
+	for i, revision := range m.GetPositions() {
+		if i < len(l.order) {
+			l.tables[l.order[i]].heard(now, revision, host.Control)
 		}
 	}
-	if len(l.tracker.Live(now)) != before {
-		klog.InfoS("hosts live", "hosts", len(l.tracker.Live(now)), "heardFrom", from.Name)
-		l.share(now)
+	if m.GetWatching() && host.Zone == l.conductor.settings.Zone {
+		l.served(now, m.GetStoreLost())
 	}
-}
-
-// greetBack answers a host that is not known yet: its pulses name nobody.
-func (l *loop) greetBack(now time.Duration, m *greeted) {
-	if m.GetSender().GetName() == l.conductor.settings.Host {
-		return
+	if after := len(l.tracker.Live(now)); after != before {
+		klog.InfoS("hosts live", "hosts", after, "heardFrom", host.ID.Name)
+		l.share(now)
 	}
-	l.greeter.Forget(m.GetSender().GetName())
+	l.askPeers(now)
 }
 
-// heard takes in how far another host has followed the kind.
-func (t *table) heard(now time.Duration, revision int64, control string) {
-	if revision <= t.revision {
+// served takes in that another host of the zone watches the store.
+func (l *loop) served(now time.Duration, lost bool) {
+	l.servedAt = now
+	if l.watching {
 		return
 	}
-	if t.ahead <= t.revision {
-		t.aheadSince = now
-	}
-	if revision > t.ahead {
-		t.ahead = revision
-		t.aheadHost = control
+	if lost {
+		l.registrar.StoreLost()
+	} else {
+		l.registrar.StoreRegained(now)
 	}
 }
 
-// behind reports whether others have been ahead for a while.
-func (t *table) behind(now time.Duration) bool {
-	return t.ahead > t.revision && now-t.aheadSince >= behindFor
-}
-
 // askPeers gets from another host what the store does not tell this one.
 func (l *loop) askPeers(now time.Duration) {
 	ask := map[string][]*peerv1.Position{}
@@ -166,7 +198,7 @@
 		if t.ahead <= t.revision {
 			continue
 		}
-		if t.lost || !t.known {
+		if !l.watching || t.lost || !t.known {
 			ask[t.aheadHost] = append(ask[t.aheadHost], &peerv1.Position{Kind: kind, Revision: t.revision})
 		} else if t.behind(now) {
 			klog.InfoS("watch is behind", "kind", kind, "revision", t.revision, "others", t.ahead)
@@ -217,16 +249,29 @@
 	}
 	for _, wire := range m.tables {
 		t := l.tables[wire.GetKind()]
-		if t == nil || (!t.lost && t.known) || wire.GetRevision() <= t.revision {
+		if t == nil || l.watching && !t.lost && t.known || wire.GetRevision() <= t.revision {
 			continue
 		}
-		all := messenger.DecodeTable(wire)
-		t.replace(all)
-		t.revision = max(t.revision, all.Revision())
-		klog.InfoS("objects learned from host", "host", m.host, "kind", wire.GetKind(),
-			"revision", all.Revision(), "objects", len(all.Items()))
-		l.changed(now, wire.GetKind(), nil)
+		l.learn(now, t, wire)
 	}
+	l.askPeers(now)
+}
+
+// learn takes in what another host knows of a kind.
+func (l *loop) learn(now time.Duration, t *table, wire *peerv1.ObjectTable) {
+	objects := messenger.DecodeTable(wire)
+	klog.V(1).InfoS("objects learned from host", "kind", t.kind, "from", t.revision,
+		"revision", objects.Revision(), "objects", len(objects.Items()), "changes", wire.GetChanges())
+	if wire.GetChanges() && t.known {
+		t.change(objects)
+		t.revision = max(t.revision, objects.Revision())
+		l.changed(now, t.kind, &objects)
+		return
+	}
+	t.replace(objects)
+	t.revision = max(t.revision, objects.Revision())
+	t.complete = t.revision
+	l.changed(now, t.kind, nil)
 }
 
 // peerService answers other hosts.
@@ -237,15 +282,11 @@
 
 // Objects returns the kinds that this host has followed further.
 func (p *peerService) Objects(ctx context.Context, req *connect.Request[peerv1.ObjectsRequest]) (*connect.Response[peerv1.ObjectsResponse], error) {
-	m := &asked{known: req.Msg.GetKnown(), answer: make(chan map[string]keeper.Table, 1)}
+	m := &asked{known: req.Msg.GetKnown(), answer: make(chan []*peerv1.ObjectTable, 1)}
 	p.conductor.loop.send(m)
 	select {
 	case tables := <-m.answer:
-		resp := &peerv1.ObjectsResponse{}
-		for kind, t := range tables {
-			resp.Tables = append(resp.Tables, messenger.EncodeTable(kind, t))
-		}
-		return connect.NewResponse(resp), nil
+		return connect.NewResponse(&peerv1.ObjectsResponse{Tables: tables}), nil
 	case <-ctx.Done():
 		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
 	}
@@ -254,14 +295,15 @@
 // asked is another host's question.
 type asked struct {
 	known  []*peerv1.Position
-	answer chan map[string]keeper.Table
+	answer chan []*peerv1.ObjectTable
 }
 
 func (m *asked) apply(l *loop, _ time.Duration) {
-	tables := map[string]keeper.Table{}
+	var tables []*peerv1.ObjectTable
 	for _, p := range m.known {
 		if t := l.tables[p.GetKind()]; t != nil && t.known && t.revision > p.GetRevision() {
-			tables[p.GetKind()] = t.all()
+			objects, changes := t.since(p.GetRevision())
+			tables = append(tables, messenger.EncodeTable(t.kind, objects, changes))
 		}
 	}
 	m.answer <- tables
--- a/internal/conductor/table.go
+++ b/internal/conductor/table.go
@@ -15,19 +15,24 @@
 	target        = exchanger.Target
 )
 
+const maxRemoved = 512 // removals that are remembered for other hosts
+
 // table is the objects of one kind as this host knows them.
 type table struct {
+	kind     string
 	items    map[string]keeper.Item
-	revision int64 // of the latest change known; never falls
-	known    bool  // the kind was listed, by the store or another host
-	lost     bool  // the store does not answer this host
+	removed  []keeper.Item // latest removals, by revision
+	complete int64         // all changes after this revision stand in items or removed
+	revision int64         // of the latest change known; never falls
+	known    bool          // the kind was listed, by the store or another host
+	lost     bool          // the store does not answer this host
 
 	ahead      int64         // furthest revision that another host told of
 	aheadHost  string        // its control address
 	aheadSince time.Duration // when one was first ahead
 }
 
-func newTable() *table { return &table{items: map[string]keeper.Item{}} }
+func newTable(kind string) *table { return &table{kind: kind, items: map[string]keeper.Item{}} }
 
 // replace takes in all objects of the kind.
 func (t *table) replace(all keeper.Table) {
@@ -39,27 +44,66 @@
 		}
 		t.revision = max(t.revision, item.Revision())
 	}
+	// What was removed before is not told by a list, but it is in it.
+	if all.Revision() >= t.ahead {
+		t.revision = max(t.revision, t.ahead)
+	}
+	t.removed = nil
+	t.complete = t.revision
 }
 
 // change takes in objects that changed.
 func (t *table) change(changed keeper.Table) {
 	for _, item := range changed.Items() {
-		if item.Deleted() {
-			delete(t.items, item.Name())
+		t.revision = max(t.revision, item.Revision())
+		if !item.Deleted() {
+			t.items[item.Name()] = item
 			continue
 		}
-		t.items[item.Name()] = item
+		delete(t.items, item.Name())
+		t.removed = append(t.removed, item)
+	}
+	if excess := len(t.removed) - maxRemoved; excess > 0 {
+		t.complete = t.removed[excess-1].Revision()
+		t.removed = t.removed[excess:]
 	}
-	t.revision = max(t.revision, changed.Revision())
 }
 
-// all returns the objects for another host.
-func (t *table) all() keeper.Table {
-	items := make([]keeper.Item, 0, len(t.items))
+// since returns what another host lacks that knows the kind up to a revision,
+// and whether that is only the changes.
+func (t *table) since(revision int64) (keeper.Table, bool) {
+	changes := revision > 0 && revision >= t.complete
+	var items []keeper.Item
 	for _, item := range t.items {
-		items = append(items, item)
+		if !changes || item.Revision() > revision {
+			items = append(items, item)
+		}
+	}
+	for _, item := range t.removed {
+		if changes && item.Revision() > revision && t.items[item.Name()].Name() == "" {
+			items = append(items, item)
+		}
+	}
+	return keeper.NewTable(items, t.revision), changes
+}
+
+// heard takes in how far another host has followed the kind.
+func (t *table) heard(now time.Duration, revision int64, control string) {
+	if revision <= t.revision {
+		return
 	}
-	return keeper.NewTable(items, t.revision)
+	if t.ahead <= t.revision {
+		t.aheadSince = now
+	}
+	if revision > t.ahead {
+		t.ahead = revision
+		t.aheadHost = control
+	}
+}
+
+// behind reports whether others have been ahead for a while.
+func (t *table) behind(now time.Duration) bool {
+	return t.ahead > t.revision && now-t.aheadSince >= behindFor
 }
 
 // limits returns the rates that all hosts share.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -20,7 +20,7 @@
 	waitPerHost = time.Second             // so that a watch of some host is renewed about every second
 	leastWait   = 3 * time.Second         // a host on its own notices a deaf watch in this time
 	watchSlack  = 1500 * time.Millisecond // for the way and a slow store
-	settle      = 150 * time.Millisecond  // changes that come together are taken in one call
+	settle      = 700 * time.Millisecond  // changes that come together are taken in one call; a third of the time allowed
 	firstRetry  = 100 * time.Millisecond
 	lastRetry   = 900 * time.Millisecond // a host is back well before the store counts as stable
 )
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -131,12 +131,16 @@
 func TestChangesAreToldAtOnce(t *testing.T) {
 	is := is.New(t)
 	run(t, func(s *source, _ *follower.Follower, told *teller) {
-		for range 3 {
-			s.change()
-			time.Sleep(200 * time.Millisecond)
-		}
+		s.change()
+		time.Sleep(time.Millisecond)
 		revision, _ := told.seen()
-		is.Equal(revision, int64(4))
+		is.Equal(revision, int64(2)) // the first one at once
+		s.change()
+		s.change()
+		time.Sleep(time.Second)
+		revision, _ = told.seen()
+		is.Equal(revision, int64(4)) // those that follow together
+		s.set(func() { is.Equal(s.calls, 3) })
 	})
 }
 
--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -196,53 +196,57 @@
 	}
 }
 
+const tenths = 10 // demand is told in tenths of a request a second
+
 // EncodeRecords maps records of demand to the wire.
 func EncodeRecords(records []greeter.Record) []*peerv1.DemandRecord {
 	wire := make([]*peerv1.DemandRecord, 0, len(records))
 	for _, r := range records {
 		one := &peerv1.DemandRecord{Scope: r.Scope}
 		for limit, rate := range r.Demands {
-			one.Demands = append(one.Demands, &peerv1.Demand{Limit: limit, PerSecond: float32(rate)})
+			one.Demands = append(one.Demands, &peerv1.Demand{Limit: limit, Rate: uint32(rate*tenths + 0.5)})
 		}
 		wire = append(wire, one)
 	}
 	return wire
 }
 
-// DecodeRecords maps records of demand from the wire. One of an unknown scope or
-// a demand below 0 is dropped.
+// DecodeRecords maps records of demand from the wire. One of an unknown scope is
+// dropped.
 func DecodeRecords(wire []*peerv1.DemandRecord) []greeter.Record {
 	records := make([]greeter.Record, 0, len(wire))
 	for _, w := range wire {
 		if !greeter.ValidScope(w.GetScope()) {
 			continue
 		}
-		demands := make(map[string]float64, len(w.GetDemands()))
+		demands := make(map[uint32]float64, len(w.GetDemands()))
 		for _, d := range w.GetDemands() {
-			if d.GetPerSecond() >= 0 {
-				demands[d.GetLimit()] = float64(d.GetPerSecond())
-			}
+			demands[d.GetLimit()] = float64(d.GetRate()) / tenths
 		}
 		records = append(records, greeter.Record{Scope: w.GetScope(), Demands: demands})
 	}
 	return records
 }
 
-// EncodeTable maps the objects of a kind to the wire.
-func EncodeTable(kind string, table keeper.Table) *peerv1.ObjectTable {
-	wire := &peerv1.ObjectTable{Kind: kind, Revision: table.Revision()}
+// EncodeTable maps objects of a kind to the wire: all of them, or only changes.
+func EncodeTable(kind string, table keeper.Table, changes bool) *peerv1.ObjectTable {
+	wire := &peerv1.ObjectTable{Kind: kind, Revision: table.Revision(), Changes: changes}
 	for _, item := range table.Items() {
 		wire.Objects = append(wire.Objects, &peerv1.StoredObject{
-			Name: item.Name(), Revision: item.Revision(), Content: item.Content(),
+			Name: item.Name(), Revision: item.Revision(), Content: item.Content(), Deleted: item.Deleted(),
 		})
 	}
 	return wire
 }
 
-// DecodeTable maps the objects of a kind from the wire.
+// DecodeTable maps objects of a kind from the wire.
 func DecodeTable(wire *peerv1.ObjectTable) keeper.Table {
 	items := make([]keeper.Item, 0, len(wire.GetObjects()))
 	for _, o := range wire.GetObjects() {
+		if o.GetDeleted() {
+			items = append(items, keeper.NewDeletedItem(o.GetName(), o.GetRevision()))
+			continue
+		}
 		items = append(items, keeper.NewItem(o.GetName(), o.GetRevision(), o.GetContent()))
 	}
 	return keeper.NewTable(items, wire.GetRevision())
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"net"
 	"net/http"
 	"sync"
@@ -95,7 +93,7 @@
 func New(settings *loader.Settings, options ...Option) (*Server, error) {
 	s := &Server{
 		settings:  settings,
-		id:        tracker.HostID{Name: settings.Host().Name(), Incarnation: incarnation()},
+		id:        tracker.HostID{Name: settings.Host().Name(), Incarnation: tracker.NewIncarnation(time.Now())},
 		clock:     clocker.New(),
 		stopAsked: make(chan struct{}),
 		done:      make(chan struct{}),
@@ -142,14 +140,6 @@
 	return s, nil
 }
 
-// incarnation is drawn by time first, so that a later run of a host always has
-// a higher one, and by chance below that.
-func incarnation() uint64 {
-	var chance [2]byte
-	_, _ = rand.Read(chance[:])
-	return uint64(time.Now().UnixMicro())<<12 | uint64(binary.BigEndian.Uint16(chance[:])&0xfff)
-}
-
 // ID returns the daemon's host id.
 func (s *Server) ID() tracker.HostID { return s.id }
 
--- a/pkg/greeter/greeter.go
+++ b/pkg/greeter/greeter.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
 
@@ -34,12 +36,16 @@
 	Full    bool   // with whole heartbeats: the recipient may not know all hosts
 }
 
-// Record is the demand of a host or of a whole zone, by limit.
+// Record is the demand of a host or of a whole zone, in requests a second by the
+// hash of the limit's name.
 type Record struct {
 	Scope   string // "host/" or "zone/" and the name
-	Demands map[string]float64
+	Demands map[uint32]float64
 }
 
+// Limit returns the number that a limit goes by between hosts.
+func Limit(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
 type kept struct {
 	record Record
 	at     time.Duration
@@ -53,7 +59,7 @@
 	tracker  *tracker.Tracker
 	contacts map[string]Contact
 	seeds    []string
-	digests  map[string]uint64 // of the hosts that others know, by name
+	digests  map[string]uint32 // of the hosts that others know, by name
 	records  map[string]kept
 }
 
@@ -62,7 +68,7 @@
 	return &Greeter{
 		self: self, zone: zone, tracker: t, seeds: seeds,
 		contacts: map[string]Contact{},
-		digests:  map[string]uint64{},
+		digests:  map[string]uint32{},
 		records:  map[string]kept{},
 	}
 }
@@ -79,7 +85,7 @@
 }
 
 // Heard takes in a greeting from a host of a zone.
-func (g *Greeter) Heard(now time.Duration, from, zone string, digest uint64, records []Record) {
+func (g *Greeter) Heard(now time.Duration, from, zone string, digest uint32, records []Record) {
 	g.digests[from] = digest
 	for _, r := range records {
 		if r.Scope == scopeHost(g.self) || r.Scope == scopeZone(g.zone) {
@@ -94,9 +100,6 @@
 	}
 }
 
-// Forget makes the next greeting to a host a full one.
-func (g *Greeter) Forget(name string) { delete(g.digests, name) }
-
 // known returns all other hosts, live ones first in each zone.
 func (g *Greeter) known(now time.Duration) map[string][]tracker.Host {
 	hosts := g.tracker.Known(now)
@@ -116,15 +119,18 @@
 	return byZone
 }
 
+// Digest returns a number that is the same on hosts that know the same others.
+func (g *Greeter) Digest(now time.Duration) uint32 { return uint32(g.tracker.Digest(now)) }
+
 // Letters returns the greetings that are due.
 func (g *Greeter) Letters(now time.Duration) []Letter {
 	byZone := g.known(now)
-	digest := g.tracker.Digest(now)
+	digest := g.Digest(now)
 	var letters []Letter
 	for _, host := range byZone[g.zone] {
 		letters = append(letters, g.letter(host, digest, false))
 	}
-	if g.onDuty(now) {
+	if g.OnDuty(now) {
 		for zone, hosts := range byZone {
 			if zone == g.zone {
 				continue
@@ -143,20 +149,25 @@
 	return letters
 }
 
-func (g *Greeter) letter(host tracker.Host, digest uint64, foreign bool) Letter {
+func (g *Greeter) letter(host tracker.Host, digest uint32, foreign bool) Letter {
 	heard, ok := g.digests[host.ID.Name]
 	return Letter{Control: host.Control, Name: host.ID.Name, Foreign: foreign, Full: !ok || heard != digest}
 }
 
-// onDuty reports whether this host greets other zones.
-func (g *Greeter) onDuty(now time.Duration) bool {
+// OnDuty reports whether this host greets other zones.
+func (g *Greeter) OnDuty(now time.Duration) bool { return g.among(now, dutyHosts) }
+
+// Watches reports whether this host watches the store for its zone.
+func (g *Greeter) Watches(now time.Duration) bool { return g.among(now, 1) }
+
+func (g *Greeter) among(now time.Duration, n int) bool {
 	var own []tracker.Host
 	for _, host := range g.tracker.Live(now) {
 		if host.Zone == g.zone {
 			own = append(own, host)
 		}
 	}
-	return tracker.Holds(dutyName, own, g.self, dutyHosts)
+	return tracker.Holds(dutyName, own, g.self, n)
 }
 
 // drawn returns the hosts on duty of another zone: from the live ones, or from
@@ -181,12 +192,12 @@
 
 // Records returns what to tell of demand: to hosts of the own zone what each
 // host and other zone asks for, to other zones the sum of the own zone.
-func (g *Greeter) Records(now time.Duration, own map[string]float64, foreign bool) []Record {
+func (g *Greeter) Records(now time.Duration, own map[uint32]float64, foreign bool) []Record {
 	if foreign {
 		return []Record{{Scope: scopeZone(g.zone), Demands: g.zoneSum(now, own)}}
 	}
 	records := []Record{{Scope: scopeHost(g.self), Demands: own}}
-	if !g.onDuty(now) {
+	if !g.OnDuty(now) {
 		return records
 	}
 	for scope, k := range g.records {
@@ -198,8 +209,8 @@
 	return records
 }
 
-func (g *Greeter) zoneSum(now time.Duration, own map[string]float64) map[string]float64 {
-	sum := map[string]float64{}
+func (g *Greeter) zoneSum(now time.Duration, own map[uint32]float64) map[uint32]float64 {
+	sum := map[uint32]float64{}
 	add(sum, own)
 	for scope, k := range g.records {
 		if strings.HasPrefix(scope, hostScope) && now-k.at < recordLife {
@@ -210,8 +221,8 @@
 }
 
 // Others returns the demand of all other hosts that were heard of lately.
-func (g *Greeter) Others(now time.Duration) map[string]float64 {
-	sum := map[string]float64{}
+func (g *Greeter) Others(now time.Duration) map[uint32]float64 {
+	sum := map[uint32]float64{}
 	for scope, k := range g.records {
 		if now-k.at >= recordLife {
 			delete(g.records, scope)
@@ -222,7 +233,7 @@
 	return sum
 }
 
-func add(sum, more map[string]float64) {
+func add(sum, more map[uint32]float64) {
 	for name, value := range more {
 		sum[name] += value
 	}
--- a/pkg/tracker/host.go
+++ b/pkg/tracker/host.go
@@ -3,6 +3,8 @@
 package tracker
 
 import (
+	"crypto/rand"
+	"encoding/binary"
 	"fmt"
 	"time"
 )
@@ -17,6 +19,19 @@
 // String returns name/incarnation.
 func (id HostID) String() string { return fmt.Sprintf("%s/%x", id.Name, id.Incarnation) }
 
+// chanceBits are the low bits of an incarnation: hosts that start in the same
+// microsecond must not share one.
+const chanceBits = 12
+
+// NewIncarnation draws the number of a run by the time of its start first, so
+// that a later run of a host has a higher one, and by chance below that.
+func NewIncarnation(start time.Time) uint64 {
+	var chance [2]byte
+	_, _ = rand.Read(chance[:]) // never fails, by its documentation
+	low := uint64(binary.BigEndian.Uint16(chance[:])) & (1<<chanceBits - 1)
+	return uint64(start.UnixMicro())<<chanceBits | low
+}
+
 // State is what a host says of itself.
 type State int
 
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -14,7 +14,7 @@
 	silence time.Duration // a host not heard of for this long is not live
 	entries map[string]*entry
 	dead    map[HostID]bool // incarnations that certainly hold nothing any more
-	outrun  bool            // a later incarnation of the own host was heard of
+	outrun  uint64          // highest later incarnation of the own host that was heard of, or 0
 }
 
 // Option sets one property of a tracker.
@@ -54,7 +54,7 @@
 	for _, beat := range beats {
 		switch {
 		case beat.ID.Name == t.self.ID.Name:
-			t.outrun = t.outrun || beat.ID.Incarnation > t.self.ID.Incarnation
+			t.overtake(beat.ID.Incarnation)
 		case beat.State == Gone:
 			t.Dead(beat.ID)
 		case !t.dead[beat.ID]:
@@ -65,7 +65,23 @@
 
 // Superseded reports whether a later run of the own host exists. The own
 // process must then give everything up.
-func (t *Tracker) Superseded() bool { return t.outrun }
+func (t *Tracker) Superseded() bool { return t.outrun != 0 }
+
+func (t *Tracker) overtake(incarnation uint64) {
+	if incarnation > t.self.ID.Incarnation {
+		t.outrun = max(t.outrun, incarnation)
+	}
+}
+
+// Renew gives the own run a number above all that were heard of. It is for a
+// process that is certain to be the latest run of its host, and whose clock was
+// set back before it started.
+func (t *Tracker) Renew() {
+	if t.outrun != 0 {
+		t.self.ID.Incarnation = t.outrun + 1<<chanceBits
+		t.outrun = 0
+	}
+}
 
 func (t *Tracker) hear(now time.Duration, beat Beat) {
 	known := t.entries[beat.ID.Name]
@@ -136,6 +152,16 @@
 	return Host{Beat: known.beat, Silent: now - known.heard}, true
 }
 
+// FindRun returns the latest heartbeat of an incarnation by its number alone.
+func (t *Tracker) FindRun(now time.Duration, incarnation uint64) (Host, bool) {
+	for _, e := range t.entries {
+		if e.beat.ID.Incarnation == incarnation {
+			return Host{Beat: e.beat, Silent: now - e.heard}, true
+		}
+	}
+	return Host{}, false
+}
+
 // Replaced reports whether a later run of a host listens at the same address of
 // the same boot of the same machine. The kernel lets nobody listen there before
 // the earlier process has ended. On another machine, or after another boot, the
--- a/pkg/tracker/tracker_test.go
+++ b/pkg/tracker/tracker_test.go
@@ -72,3 +72,28 @@
 		}
 	}
 }
+
+// Hosts that start in the same microsecond must be told apart.
+func TestIncarnationsDiffer(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_700_000_000, 0)
+	seen := map[uint64]bool{}
+	for range 8 {
+		seen[tracker.NewIncarnation(start)] = true
+	}
+	is.True(len(seen) > 1)
+	is.True(tracker.NewIncarnation(start.Add(time.Microsecond)) > tracker.NewIncarnation(start))
+}
+
+// A host whose clock was set back before it started is heard again.
+func TestRunBelowAnEarlierOneIsRenewed(t *testing.T) {
+	is := is.New(t)
+	late := tracker.NewIncarnation(time.Unix(1_700_000_100, 0))
+	self := tracker.Beat{ID: tracker.HostID{Name: "a", Incarnation: tracker.NewIncarnation(time.Unix(1_700_000_000, 0))}}
+	own := tracker.New(self)
+	own.Heard(0, tracker.Beat{ID: tracker.HostID{Name: "a", Incarnation: late}, Counter: 7})
+	is.True(own.Superseded())
+	own.Renew()
+	is.True(!own.Superseded())
+	is.True(own.Self().ID.Incarnation > late)
+}
