carrier: drop a caller's own key, workspace and instance headers by name

Cause: the headers were dropped only by the product's own prefix, so that a deployment with other names would have passed the key and a forged workspace on (TestRequestReachesTheBackendServerUnchanged, which failed).

--- a/internal/carrier/call.go
+++ b/internal/carrier/call.go
@@ -233,6 +233,9 @@
 	words := &c.carrier.words
 	header := make(http.Header, len(c.r.Header)+4)
 	forwarder.CopyEndToEnd(header, c.r.Header)
+	for _, name := range []string{words.Key, words.Workspace, words.Instance} {
+		header.Del(name) // a caller's own never reaches a backend server
+	}
 	header.Set(words.RequestID, c.id)
 	header.Set(words.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	header.Set(words.Instance, pick.ID())
