--- /dev/null
+++ b/pkg/placer/placer_test.go
@@ -0,0 +1,407 @@
+package placer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.yaml.in/yaml/v3"
+
+	"magnoliahill.example/magnoliahill/pkg/placer"
+	"magnoliahill.example/magnoliahill/pkg/registrar"
+)
+
+var regions = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+
+const service = "svc"
+
+// world is backend servers that are faster with objects they handled, and the
+// hosts that send to them, in virtual time.
+type world struct {
+	load    load
+	rng     *rand.Rand
+	now     time.Duration
+	hosts   []*placer.Placer
+	servers map[string]*server
+	list    []registrar.Registered
+	ends    []running
+	results results
+}
+
+type server struct {
+	slots, queue int
+	slow         float64
+	running      int
+	waiting      []running
+	warm         map[string]bool
+	colds        int // runs of objects that were cold
+}
+
+type running struct {
+	at      time.Duration // when it ends
+	host    int
+	pick    placer.Pick
+	object  string
+	arrived time.Duration
+}
+
+type results struct {
+	asked, onTime, late, refused, shed int
+}
+
+// load is one load from the data file.
+type load struct {
+	Name    string
+	Servers map[string]int // by zone
+	Slots   int
+	Queue   int
+	Objects int
+	Rate    float64       // requests a second over all hosts
+	Cold    time.Duration // a run of an object that is cold
+	Warm    time.Duration
+	Goal    time.Duration
+	Seconds float64
+	Burst   struct{ From, To, Rate float64 }
+	Slow    struct {
+		Server string
+		By     float64
+		From   float64
+	}
+	// Bounds on what callers get, as shares of the requests.
+	MinOnTime float64 `yaml:"min-on-time"`
+	MaxLate   float64 `yaml:"max-late"`
+}
+
+func newWorld(l load, seed uint64) *world {
+	w := &world{load: l, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[string]*server{}}
+	r := registrar.New()
+	for zone, count := range l.Servers {
+		for i := range count {
+			id := fmt.Sprintf("%s-%d", zone, i)
+			w.servers[id] = &server{slots: l.Slots, queue: l.Queue, slow: 1, warm: map[string]bool{}}
+			r.Put(0, registrar.NewInstance(id, service, id, zone, registrar.WithSlots(l.Slots)))
+		}
+	}
+	w.list = r.Instances()
+	for zone := range regions {
+		p := placer.New("host-"+zone, placer.Place{Zone: zone, Region: regions[zone]}, regions)
+		p.Update(0, []placer.Service{{Name: service}}, w.list, nil)
+		w.hosts = append(w.hosts, p)
+	}
+	return w
+}
+
+func (w *world) rate() float64 {
+	at := w.now.Seconds()
+	if w.load.Burst.Rate > 0 && at >= w.load.Burst.From && at < w.load.Burst.To {
+		return w.load.Burst.Rate
+	}
+	return w.load.Rate
+}
+
+const step = time.Millisecond
+
+func (w *world) play() results {
+	for w.now = step; w.now.Seconds() < w.load.Seconds; w.now += step {
+		if s := w.servers[w.load.Slow.Server]; s != nil && w.now.Seconds() >= w.load.Slow.From {
+			s.slow = w.load.Slow.By
+		}
+		w.finish()
+		for n := w.rate() * step.Seconds(); n > 0 && w.rng.Float64() < n; n-- {
+			w.ask()
+		}
+	}
+	return w.results
+}
+
+func (w *world) ask() {
+	host := w.rng.IntN(len(w.hosts))
+	object := fmt.Sprint(w.rng.IntN(w.load.Objects))
+	w.results.asked++
+	pick, verdict, _ := w.hosts[host].Choose(w.now, placer.Query{
+		Service: service, Route: "r", Object: object, Goal: w.load.Goal, Left: 10 * w.load.Goal,
+	})
+	if verdict != placer.Chosen {
+		w.results.refused++
+		return
+	}
+	one := running{host: host, pick: pick, object: object, arrived: w.now}
+	s := w.servers[pick.ID()]
+	switch {
+	case s.running < s.slots:
+		w.start(s, one)
+	case len(s.waiting) < s.queue:
+		s.waiting = append(s.waiting, one)
+	default:
+		w.results.shed++
+		w.hosts[host].Done(w.now, pick, placer.Shed, w.report(s))
+	}
+}
+
+func (w *world) start(s *server, one running) {
+	s.running++
+	took := w.load.Warm
+	if !s.warm[one.object] {
+		took = w.load.Cold
+		s.colds++
+	}
+	one.at = w.now + time.Duration(float64(took)*s.slow*(0.85+0.3*w.rng.Float64()))
+	w.ends = append(w.ends, one)
+}
+
+func (w *world) report(s *server) placer.Load {
+	return placer.Load{Running: s.running, Waiting: len(s.waiting), Known: true}
+}
+
+func (w *world) finish() {
+	kept := w.ends[:0]
+	var done []running
+	for _, one := range w.ends {
+		if one.at <= w.now {
+			done = append(done, one)
+		} else {
+			kept = append(kept, one)
+		}
+	}
+	w.ends = kept
+	for _, one := range done {
+		s := w.servers[one.pick.ID()]
+		s.running--
+		s.warm[one.object] = true
+		w.hosts[one.host].Done(w.now, one.pick, placer.Answered, w.report(s))
+		if w.now-one.arrived <= w.load.Goal {
+			w.results.onTime++
+		} else {
+			w.results.late++
+		}
+		if len(s.waiting) > 0 {
+			next := s.waiting[0]
+			s.waiting = s.waiting[1:]
+			w.start(s, next)
+		}
+	}
+}
+
+// TestLoads plays loads on the decisions and checks what callers get.
+func TestLoads(t *testing.T) {
+	data, err := os.ReadFile("testdata/loads.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var loads []load
+	if err := yaml.Unmarshal(data, &loads); err != nil {
+		t.Fatal(err)
+	}
+	for _, l := range loads {
+		t.Run(l.Name, func(t *testing.T) {
+			is := is.New(t)
+			got := newWorld(l, 1).play()
+			asked := float64(got.asked)
+			t.Logf("asked %d, on time %.3f, late %.3f, refused %.3f, shed %.3f", got.asked, float64(got.onTime)/asked,
+				float64(got.late)/asked, float64(got.refused)/asked, float64(got.shed)/asked)
+			is.True(float64(got.onTime) >= l.MinOnTime*asked)
+			is.True(float64(got.late) <= l.MaxLate*asked)
+		})
+	}
+}
+
+func instance(id, zone string, options ...registrar.InstanceOption) registrar.Instance {
+	return registrar.NewInstance(id, service, id+":1", zone, append([]registrar.InstanceOption{registrar.WithSlots(8)}, options...)...)
+}
+
+func update(p *placer.Placer, now time.Duration, cold float64, evacuated []string, instances ...registrar.Instance) {
+	r := registrar.New()
+	for _, i := range instances {
+		r.Put(now, i)
+	}
+	p.Update(now, []placer.Service{{Name: service, ColdRate: cold, ColdStart: 3 * time.Second}}, r.Instances(), evacuated)
+}
+
+func query(object string) placer.Query {
+	return placer.Query{Service: service, Route: "r", Object: object, Goal: 400 * time.Millisecond, Left: 3 * time.Second}
+}
+
+// All hosts come to the same server for an object that their region leaves to
+// others, and one that comes or goes moves few objects.
+func TestOrderIsStable(t *testing.T) {
+	is := is.New(t)
+	var all []registrar.Instance
+	for i := range 12 {
+		all = append(all, instance(fmt.Sprint("s", i), "a1"))
+	}
+	choose := func(host string, servers []registrar.Instance) map[string]string {
+		p := placer.New(host, placer.Place{Zone: "b1", Region: "b"}, regions)
+		update(p, 0, 0, nil, servers...)
+		chosen := map[string]string{}
+		for i := range 200 {
+			object := fmt.Sprint(i)
+			pick, verdict, _ := p.Choose(0, query(object))
+			is.Equal(verdict, placer.Chosen)
+			chosen[object] = pick.ID()
+			p.Done(0, pick, placer.Canceled, placer.Load{})
+		}
+		return chosen
+	}
+	one, other, fewer := choose("h1", all), choose("h2", all), choose("h1", all[1:])
+	moved := 0
+	for object, server := range one {
+		is.Equal(server, other[object])
+		if fewer[object] != server {
+			is.Equal(server, "s0") // only objects of the server that went have moved
+			moved++
+		}
+	}
+	is.True(moved > 0 && moved < 50)
+}
+
+func TestDrainingAndEvacuatedGetNothing(t *testing.T) {
+	is := is.New(t)
+	p := placer.New("h", placer.Place{Zone: "a1", Region: "a"}, regions)
+	update(p, 0, 0, []string{"a2"}, instance("leaves", "a1", registrar.WithState(registrar.Draining)), instance("out", "a2"))
+	_, verdict, wait := p.Choose(0, query("1"))
+	is.Equal(verdict, placer.NoServer)
+	is.True(wait > 0)
+	update(p, 0, 0, nil, instance("out", "a2"))
+	pick, verdict, _ := p.Choose(0, query("1"))
+	is.Equal(verdict, placer.Chosen)
+	is.Equal(pick.ID(), "out")
+}
+
+func TestHomesAreKept(t *testing.T) {
+	is := is.New(t)
+	p := placer.New("h", placer.Place{Zone: "a1", Region: "a"}, regions)
+	update(p, 0, 0, nil, instance("near", "a1"), instance("home", "b1"))
+	for i := range 50 {
+		q := query(fmt.Sprint(i))
+		q.Homes = []string{"b"}
+		pick, verdict, _ := p.Choose(0, q)
+		is.Equal(verdict, placer.Chosen)
+		is.Equal(pick.ID(), "home")
+		p.Done(0, pick, placer.Canceled, placer.Load{})
+		q.Homes = []string{}
+		_, verdict, _ = p.Choose(0, q)
+		is.Equal(verdict, placer.NoServer)
+	}
+}
+
+// All hosts together stay within what a cold server bears, in every second, also
+// when they do not know the same hosts.
+func TestColdServersAreSpared(t *testing.T) {
+	const coldRate, factor, slack = 6.8, 1.5, 5.0
+	for _, count := range []int{1, 2, 8, 60} {
+		for _, why := range []string{"registered cold", "taken back", "not reached"} {
+			t.Run(fmt.Sprintf("%d hosts, %s", count, why), func(t *testing.T) {
+				is := is.New(t)
+				var names []string
+				for i := range count {
+					names = append(names, fmt.Sprint("h", i))
+				}
+				var sent []time.Duration
+				rng := rand.New(rand.NewPCG(1, uint64(count)))
+				hosts := make([]*placer.Placer, count)
+				for i := range hosts {
+					hosts[i] = placer.New(names[i], placer.Place{Zone: "a1", Region: "a"}, regions, placer.WithColdBound(factor, slack))
+					known := names
+					if i%3 == 2 && count > 2 {
+						known = names[:count-1] // has not heard of the last one
+					}
+					hosts[i].SetHosts(known)
+					switch why {
+					case "registered cold":
+						update(hosts[i], 0, coldRate, nil, instance("s", "a1", registrar.WithCold(3*time.Second)))
+					case "taken back":
+						update(hosts[i], 0, coldRate, []string{"a1"}, instance("s", "a1"))
+						update(hosts[i], 0, coldRate, nil, instance("s", "a1"))
+					case "not reached":
+						update(hosts[i], 0, coldRate, nil, instance("s", "a1"))
+						pick, _, _ := hosts[i].Choose(0, query("x"))
+						hosts[i].Done(0, pick, placer.Unreachable, placer.Load{})
+					}
+				}
+				for now := 400 * time.Millisecond; now < 3*time.Second; now += 5 * time.Millisecond {
+					h := hosts[rng.IntN(count)]
+					pick, verdict, _ := h.Choose(now, query(fmt.Sprint(rng.IntN(20))))
+					if verdict == placer.Chosen {
+						sent = append(sent, now)
+						h.Done(now, pick, placer.Answered, placer.Load{})
+					}
+				}
+				most, first := 0, 0
+				for last := range sent {
+					for sent[last]-sent[first] >= time.Second {
+						first++
+					}
+					most = max(most, last-first+1)
+				}
+				t.Logf("most in a second %d, bound %.1f", most, coldRate*factor+slack)
+				is.True(float64(most) <= coldRate*factor+slack)
+				is.True(len(sent) > 0) // it gets something, so that it warms up
+			})
+		}
+	}
+}
+
+func TestUnreachableServerIsLeftAloneAndTriedAgain(t *testing.T) {
+	is := is.New(t)
+	p := placer.New("h", placer.Place{Zone: "a1", Region: "a"}, regions)
+	update(p, 0, 0, nil, instance("one", "a1"), instance("two", "a1"))
+	first, _, _ := p.Choose(0, query("1"))
+	p.Done(0, first, placer.Unreachable, placer.Load{})
+	other, verdict, _ := p.Choose(time.Millisecond, query("1"))
+	is.Equal(verdict, placer.Chosen)
+	is.True(other.ID() != first.ID())
+	p.Done(time.Millisecond, other, placer.Answered, placer.Load{})
+	again, _, _ := p.Choose(time.Second, query("1"))
+	is.Equal(again.ID(), first.ID())
+	// Only one request tries it until it answers.
+	second, _, _ := p.Choose(time.Second, query("1"))
+	is.Equal(second.ID(), other.ID())
+}
+
+func TestServerThatFailsOrIsSlowIsAvoidedAndComesBack(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		outcome placer.Outcome
+		took    time.Duration
+	}{
+		{"fails at once", placer.Failed, time.Millisecond},
+		{"is eight times slower", placer.Answered, 1600 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := placer.New("h", placer.Place{Zone: "a1", Region: "a"}, regions)
+			update(p, 0, 0, nil, instance("one", "a1"), instance("two", "a1"))
+			pick, _, _ := p.Choose(0, query("1"))
+			bad := pick.ID()
+			now := time.Duration(0)
+			for range 12 {
+				took := 200 * time.Millisecond
+				outcome := placer.Answered
+				if pick.ID() == bad {
+					took, outcome = c.took, c.outcome
+				}
+				now += took
+				p.Done(now, pick, outcome, placer.Load{})
+				pick, _, _ = p.Choose(now, query("1"))
+			}
+			is.True(pick.ID() != bad)
+			p.Done(now, pick, placer.Canceled, placer.Load{})
+			pick, _, _ = p.Choose(now+time.Minute, query("1"))
+			is.Equal(pick.ID(), bad)
+		})
+	}
+}
+
+func TestRunUnderAnEarlierIDStartsAnew(t *testing.T) {
+	is := is.New(t)
+	p := placer.New("h", placer.Place{Zone: "a1", Region: "a"}, regions)
+	update(p, 0, 0, nil, instance("one", "a1", registrar.WithBorn(1)))
+	pick, _, _ := p.Choose(0, query("1"))
+	p.Done(0, pick, placer.Unreachable, placer.Load{})
+	is.True(p.Summaries(0)[0].Ejected)
+	update(p, 0, 0, nil, instance("one", "a1", registrar.WithBorn(2)))
+	is.True(!p.Summaries(0)[0].Ejected)
+}
