registrar: doubt a missing registration only after an outage that others shared

Ruled out: the way from the watching host to the others (0.1 s).

Hosts tell when the store was last away for all of them. Where another host's store answered all the while, backend servers could renew, and what is missing has left.

--- a/internal/conductor/loop.go
+++ b/internal/conductor/loop.go
@@ -43,6 +43,7 @@
 	watching  bool          // this host watches the store itself
 	unwatch   func()        // ends the watches
 	servedAt  time.Duration // when a watching host of the zone was last heard of
+	outageAt  time.Duration // when the store was last away, not from this host alone; 0 when never
 	work      context.Context
 	tables    map[string]*table // by kind
 	catalog   *cataloger.Catalog
@@ -164,7 +165,7 @@
 			klog.InfoS("store lost", "kind", n.Kind, "revision", t.revision, "cause", n.Lost.Error())
 		}
 		if n.Kind == l.kinds.Servers {
-			l.registrar.StoreLost()
+			l.registrar.StoreLost(now)
 		}
 	case n.Listed != nil:
 		if t.lost || !t.known {
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -21,6 +21,7 @@
 
 const (
 	maxDatagram = 60 << 10               // bytes
+	outageLife  = time.Minute            // outages are told for so long: registrations come back in seconds
 	askTimeout  = 800 * time.Millisecond // for another host's objects
 	behindFor   = 400 * time.Millisecond // a watch that others are ahead of for so long is silent; a slow store takes 240 ms
 )
@@ -48,9 +49,12 @@
 	m := &peerv1.Greeting{
 		Digest:    l.greeter.Digest(now),
 		Watching:  l.watching,
-		StoreLost: l.tables[l.kinds.Servers].lost,
+		StoreLost: l.outage(now),
 		Records:   messenger.EncodeRecords(l.greeter.Records(now, l.demand(), letter.Foreign)),
 	}
+	if since := now - l.outageAt; l.outageAt > 0 && since < outageLife {
+		m.LostBefore = uint32(since.Milliseconds()) + 1
+	}
 	for _, kind := range l.order {
 		revision := int64(0)
 		if t := l.tables[kind]; t.known {
@@ -168,6 +172,13 @@
 			l.tables[l.order[i]].heard(now, revision, host.Control)
 		}
 	}
+	if m.GetWatching() && !m.GetStoreLost() {
+		before := outageLife
+		if ms := m.GetLostBefore(); ms > 0 {
+			before = time.Duration(ms) * time.Millisecond
+		}
+		l.registrar.StoreFine(now-before, now)
+	}
 	if m.GetWatching() && host.Zone == l.conductor.settings.Zone {
 		l.served(now, m.GetStoreLost())
 	}
@@ -178,6 +189,15 @@
 	l.askPeers(now)
 }
 
+// outage reports whether the store is away, and not from this host alone.
+func (l *loop) outage(now time.Duration) bool {
+	if !l.tables[l.kinds.Servers].lost || l.registrar.Private(now) {
+		return false
+	}
+	l.outageAt = now
+	return true
+}
+
 // served takes in that another host of the zone watches the store.
 func (l *loop) served(now time.Duration, lost bool) {
 	l.servedAt = now
@@ -185,7 +205,8 @@
 		return
 	}
 	if lost {
-		l.registrar.StoreLost()
+		l.outageAt = now
+		l.registrar.StoreLost(now)
 	} else {
 		l.registrar.StoreRegained(now)
 	}
