--- a/internal/carrier/call.go
+++ b/internal/carrier/call.go
@@ -26,6 +26,7 @@
 	noConfigWait = 500 * time.Millisecond // a starting host has its configuration by then
 	stoppingWait = 50 * time.Millisecond  // another host takes the request at once
 	brokenWait   = 100 * time.Millisecond
+	returnShare  = 0.3 // refused callers return within this share of the time they have: they wait no longer than a third
 )
 
 // call is one request on its way through the host.
@@ -301,7 +302,7 @@
 	case failure && !c.promises(answer.Status):
 		return answer, nil, false
 	case notRun && !c.mayHaveRun:
-		return nil, unavailable(marker.ReasonShed, "the backend servers have no room", c.shedWait()), false
+		return nil, unavailable(marker.ReasonShed, "the backend servers have no room", c.comeBack(0)), false
 	}
 	if answer != nil && answer.Rest != nil {
 		_ = answer.Rest.Close()
@@ -330,9 +331,12 @@
 	return c.sent < c.route.MaxTries() && c.budget.Spend()
 }
 
-// shedWait spreads callers that come back over the time that one request takes.
-func (c *call) shedWait() time.Duration {
-	return time.Duration((0.25 + 0.5*rand.Float64()) * float64(c.route.Goal()))
+// comeBack returns when a caller that found no room should try again: not
+// before the missing room can be there, and spread over the time in which it
+// still helps, so that those who were refused together do not return together.
+func (c *call) comeBack(least time.Duration) time.Duration {
+	left := c.deadline - c.carrier.clock.Now()
+	return max(least, time.Duration(returnShare*rand.Float64()*float64(left)), brokenWait)
 }
 
 func (c *call) noPlace(verdict placer.Verdict, wait time.Duration) *admitter.Refusal {
@@ -340,7 +344,7 @@
 		return admitter.Unknown(http.StatusBadGateway, marker.ReasonBroken, "the backend server's answer is broken or missing")
 	}
 	if verdict == placer.NoRoom {
-		return unavailable(marker.ReasonQueueFull, "no backend server would answer in time", wait)
+		return unavailable(marker.ReasonQueueFull, "no backend server would answer in time", c.comeBack(wait))
 	}
 	return unavailable(marker.ReasonNoBackend, "no backend server can take the request", wait)
 }
