lender: pool small limits in each zone

A limit that leaves each host less than four requests at once is held by one host of each zone, drawn by rendezvous; the others charge there, within the zone, and use 0.3 of an even part when it does not answer.

--- a/internal/carrier/call.go
+++ b/internal/carrier/call.go
@@ -139,7 +139,7 @@
 	if c.workspace == nil || c.workspace.Rate() <= 0 {
 		return nil
 	}
-	ok, wait := c.carrier.rates.Take(c.began, c.workspace.Name())
+	ok, wait := c.carrier.rates.Take(c.r.Context(), c.began, c.workspace.Name())
 	if ok {
 		return nil
 	}
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -69,7 +69,7 @@
 
 // Rates charges requests to the rates of workspaces.
 type Rates interface {
-	Take(now time.Duration, limit string) (bool, time.Duration)
+	Take(ctx context.Context, now time.Duration, limit string) (bool, time.Duration)
 	Refund(now time.Duration, limit string)
 }
 
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -16,6 +16,7 @@
 	"magnoliahill.example/magnoliahill/internal/carrier"
 	"magnoliahill.example/magnoliahill/internal/clocker"
 	"magnoliahill.example/magnoliahill/internal/exchanger"
+	"magnoliahill.example/magnoliahill/internal/lender"
 	"magnoliahill.example/magnoliahill/internal/recorder"
 	"magnoliahill.example/magnoliahill/internal/standin/target"
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
@@ -65,7 +66,7 @@
 	t.Cleanup(rec.Close)
 	link := exchanger.New(words)
 	t.Cleanup(link.Close)
-	s.carrier = carrier.New(words, dialect{}, s.clock, rates, s.places, link, rec,
+	s.carrier = carrier.New(words, dialect{}, s.clock, lender.New("host", rates, nil), s.places, link, rec,
 		carrier.WithRetries(carrier.Retries{Ratio: 0.2, Size: 10}))
 	for i := range count {
 		one, err := target.Start(fmt.Sprintf("i-%d", i), words)
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -18,6 +18,7 @@
 	"magnoliahill.example/magnoliahill/internal/exchanger"
 	"magnoliahill.example/magnoliahill/internal/follower"
 	"magnoliahill.example/magnoliahill/internal/keeper"
+	"magnoliahill.example/magnoliahill/internal/lender"
 	"magnoliahill.example/magnoliahill/internal/loader"
 	"magnoliahill.example/magnoliahill/internal/messenger"
 	"magnoliahill.example/magnoliahill/internal/recorder"
@@ -65,6 +66,7 @@
 	recorder  *recorder.Recorder
 	placer    *placer.Placer
 	divider   *divider.Divider
+	lender    *lender.Lender
 	exchanger *exchanger.Exchanger
 	carrier   *carrier.Carrier
 	messenger *messenger.Messenger
@@ -103,9 +105,10 @@
 	c.placer = placer.New(settings.Host, placer.Place{Zone: settings.Zone, Region: settings.Region},
 		settings.Regions, placer.WithColdBound(settings.ColdFactor, settings.ColdSlack))
 	c.divider = divider.New(settings.Expected, settings.RateOverage*overageUsed)
+	c.lender = lender.New(settings.Host, c.divider, c.messenger)
 	words := platform.Words()
 	c.exchanger = exchanger.New(words)
-	c.carrier = carrier.New(words, platform, c.clock, c.divider, c.placer, c.exchanger, c.recorder,
+	c.carrier = carrier.New(words, platform, c.clock, c.lender, c.placer, c.exchanger, c.recorder,
 		carrier.WithRetries(retries(settings, settings.Expected)))
 	c.base, c.abort = context.WithCancel(context.Background())
 	c.loop = newLoop(c)
--- a/internal/conductor/loop.go
+++ b/internal/conductor/loop.go
@@ -13,6 +13,7 @@
 	"magnoliahill.example/magnoliahill/internal/keeper"
 	"magnoliahill.example/magnoliahill/internal/loader"
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
+	"magnoliahill.example/magnoliahill/pkg/divider"
 	"magnoliahill.example/magnoliahill/pkg/greeter"
 	"magnoliahill.example/magnoliahill/pkg/registrar"
 	"magnoliahill.example/magnoliahill/pkg/tracker"
@@ -51,7 +52,9 @@
 	evacuated []string
 	phase     carrier.Phase
 	stop      carrier.Stop
-	hosts     int // that may send requests, this one included
+	contacts  []greeter.Contact // registered hosts but this one
+	hosts     int               // that may send requests, this one included
+	zoneHosts int               // those of them in the own zone
 	greeted   time.Duration
 	swept     time.Duration
 	asking    bool // another host is being asked for objects
@@ -337,6 +340,7 @@
 		}
 		contacts = append(contacts, greeter.Contact{Name: item.Name(), Zone: wire.Zone, Control: wire.Control, Data: wire.Data})
 	}
+	l.contacts = contacts
 	l.greeter.SetContacts(contacts)
 	l.count(now)
 	if !stands && !l.written {
@@ -387,14 +391,23 @@
 // were heard of, but those that said farewell.
 func (l *loop) count(now time.Duration) {
 	names := []string{l.conductor.settings.Host}
+	zones := []string{l.conductor.settings.Zone}
 	seen := map[string]bool{l.conductor.settings.Host: true}
 	for _, host := range l.tracker.Known(now) {
 		seen[host.ID.Name] = true
 		names = append(names, host.ID.Name)
+		zones = append(zones, host.Zone)
 	}
-	for name := range l.tables[l.kinds.Hosts].items {
-		if !seen[name] {
-			names = append(names, name)
+	for _, contact := range l.contacts {
+		if !seen[contact.Name] {
+			names = append(names, contact.Name)
+			zones = append(zones, contact.Zone)
+		}
+	}
+	l.zoneHosts = 0
+	for _, zone := range zones {
+		if zone == l.conductor.settings.Zone {
+			l.zoneHosts++
 		}
 	}
 	if len(names) == l.hosts {
@@ -446,10 +459,24 @@
 			f.SetHosts(watchers(live))
 		}
 	}
-	l.conductor.divider.SetOthers(now, l.hosts, len(live), l.others(now))
+	l.conductor.divider.SetOthers(now, divider.Others{
+		Hosts: l.hosts, Zone: l.zoneHosts, Heard: len(live), Demand: l.others(now),
+	})
+	l.conductor.lender.SetHosts(l.lenders(live))
 	l.conductor.steer(live)
 }
 
+// lenders returns the live hosts of the own zone that hold limits for it.
+func (l *loop) lenders(live []tracker.Host) []tracker.Host {
+	var own []tracker.Host
+	for _, host := range live {
+		if host.Zone == l.conductor.settings.Zone && (host.State == tracker.Serving || host.ID.Name == l.conductor.settings.Host) {
+			own = append(own, host)
+		}
+	}
+	return own
+}
+
 // watchers returns how many of the live hosts watch the store: one in each zone.
 func watchers(live []tracker.Host) int {
 	zones := map[string]bool{}
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -313,6 +313,12 @@
 	}
 }
 
+// Charge takes one request off the part of a limit that this host holds.
+func (p *peerService) Charge(_ context.Context, req *connect.Request[peerv1.ChargeRequest]) (*connect.Response[peerv1.ChargeResponse], error) {
+	allowed, wait := p.conductor.divider.Take(p.conductor.clock.Now(), req.Msg.GetLimit())
+	return connect.NewResponse(&peerv1.ChargeResponse{Allowed: allowed, Wait: uint32(wait.Milliseconds())}), nil
+}
+
 // asked is another host's question.
 type asked struct {
 	known  []*peerv1.Position
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -8,8 +8,10 @@
 	"syscall"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1/peerv1connect"
 )
 
@@ -86,6 +88,15 @@
 	return client
 }
 
+// Charge takes one request off a limit that another host holds.
+func (m *Messenger) Charge(ctx context.Context, control, limit string) (allowed bool, wait time.Duration, err error) {
+	resp, err := m.Peer(control).Charge(ctx, connect.NewRequest(&peerv1.ChargeRequest{Limit: limit}))
+	if err != nil {
+		return false, 0, errors.Wrapf(err, "charging %s at %s", limit, control)
+	}
+	return resp.Msg.GetAllowed(), time.Duration(resp.Msg.GetWait()) * time.Millisecond, nil
+}
+
 // Operator returns the operators' client for a host's control address.
 func (m *Messenger) Operator(address string) peerv1connect.OperatorServiceClient {
 	return peerv1connect.NewOperatorServiceClient(m.http, "http://"+address)
--- a/internal/messenger/peerv1/peerv1connect/peer.connect.go
+++ b/internal/messenger/peerv1/peerv1connect/peer.connect.go
@@ -46,6 +46,8 @@
 	PeerServiceFetchProcedure = "/peer.v1.PeerService/Fetch"
 	// PeerServiceObjectsProcedure is the fully-qualified name of the PeerService's Objects RPC.
 	PeerServiceObjectsProcedure = "/peer.v1.PeerService/Objects"
+	// PeerServiceChargeProcedure is the fully-qualified name of the PeerService's Charge RPC.
+	PeerServiceChargeProcedure = "/peer.v1.PeerService/Charge"
 	// OperatorServiceStatusProcedure is the fully-qualified name of the OperatorService's Status RPC.
 	OperatorServiceStatusProcedure = "/peer.v1.OperatorService/Status"
 	// OperatorServiceTimeLineProcedure is the fully-qualified name of the OperatorService's TimeLine
@@ -67,6 +69,8 @@
 	Fetch(context.Context, *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchResponse], error)
 	// Objects of the platform's store, for a host that the store turns away.
 	Objects(context.Context, *connect.Request[peerv1.ObjectsRequest]) (*connect.Response[peerv1.ObjectsResponse], error)
+	// One request off a limit that the host holds for its zone.
+	Charge(context.Context, *connect.Request[peerv1.ChargeRequest]) (*connect.Response[peerv1.ChargeResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the peer.v1.PeerService service. By default, it uses
@@ -110,6 +114,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Objects")),
 			connect.WithClientOptions(opts...),
 		),
+		charge: connect.NewClient[peerv1.ChargeRequest, peerv1.ChargeResponse](
+			httpClient,
+			baseURL+PeerServiceChargeProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Charge")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -120,6 +130,7 @@
 	handOver *connect.Client[peerv1.HandOverRequest, peerv1.HandOverResponse]
 	fetch    *connect.Client[peerv1.FetchRequest, peerv1.FetchResponse]
 	objects  *connect.Client[peerv1.ObjectsRequest, peerv1.ObjectsResponse]
+	charge   *connect.Client[peerv1.ChargeRequest, peerv1.ChargeResponse]
 }
 
 // Exchange calls peer.v1.PeerService.Exchange.
@@ -147,6 +158,11 @@
 	return c.objects.CallUnary(ctx, req)
 }
 
+// Charge calls peer.v1.PeerService.Charge.
+func (c *peerServiceClient) Charge(ctx context.Context, req *connect.Request[peerv1.ChargeRequest]) (*connect.Response[peerv1.ChargeResponse], error) {
+	return c.charge.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Heartbeats, what each side knows, and census reports.
@@ -159,6 +175,8 @@
 	Fetch(context.Context, *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchResponse], error)
 	// Objects of the platform's store, for a host that the store turns away.
 	Objects(context.Context, *connect.Request[peerv1.ObjectsRequest]) (*connect.Response[peerv1.ObjectsResponse], error)
+	// One request off a limit that the host holds for its zone.
+	Charge(context.Context, *connect.Request[peerv1.ChargeRequest]) (*connect.Response[peerv1.ChargeResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -198,6 +216,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Objects")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceChargeHandler := connect.NewUnaryHandler(
+		PeerServiceChargeProcedure,
+		svc.Charge,
+		connect.WithSchema(peerServiceMethods.ByName("Charge")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -210,6 +234,8 @@
 			peerServiceFetchHandler.ServeHTTP(w, r)
 		case PeerServiceObjectsProcedure:
 			peerServiceObjectsHandler.ServeHTTP(w, r)
+		case PeerServiceChargeProcedure:
+			peerServiceChargeHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -239,6 +265,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Objects is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Charge(context.Context, *connect.Request[peerv1.ChargeRequest]) (*connect.Response[peerv1.ChargeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Charge is not implemented"))
+}
+
 // OperatorServiceClient is a client for the peer.v1.OperatorService service.
 type OperatorServiceClient interface {
 	Status(context.Context, *connect.Request[peerv1.StatusRequest]) (*connect.Response[peerv1.StatusResponse], error)
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -178,6 +178,11 @@
 	return connect.NewResponse(resp), nil
 }
 
+// Charge is refused: this daemon's hosts hand over parts of limits instead.
+func (p *peerService) Charge(context.Context, *connect.Request[peerv1.ChargeRequest]) (*connect.Response[peerv1.ChargeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limits are divided by transfers"))
+}
+
 // Objects returns nothing: this daemon keeps its configuration as published
 // files, which Fetch returns.
 func (p *peerService) Objects(context.Context, *connect.Request[peerv1.ObjectsRequest]) (*connect.Response[peerv1.ObjectsResponse], error) {
--- a/pkg/divider/divider.go
+++ b/pkg/divider/divider.go
@@ -2,8 +2,12 @@
 // follow demand, as the hosts tell one another, and add up to the limit also
 // when some of them cannot reach one another. It does no I/O.
 //
+// A limit that would leave each host less than a few requests at once is pooled:
+// one host of each zone holds the part of the whole zone, and the others ask it.
+//
 // It answers a workspace that sends several times its rate to all hosts at
-// once, and callers that move between hosts.
+// once, callers that move between hosts, and small workspaces whose callers are
+// spread over many hosts.
 package divider
 
 import (
@@ -16,10 +20,12 @@
 
 const (
 	floorShare  = 0.5                    // part of a limit that is divided evenly and never moves
-	demandShare = 0.4                    // weight of a new sample of demand
+	demandShare = 0.2                    // weight of a new sample of demand
 	leastSample = 100 * time.Millisecond // shorter spans say little of a rate
 	idleDemand  = 0.02                   // an idle host counts with this share of an even part
 	toldRounds  = 3                      // rounds after which all hosts know what one told: it may pass two others
+	pooledBelow = 4.0                    // a limit whose even parts hold fewer requests at once is pooled
+	aloneShare  = 0.3                    // share of its even part that a host may use of a pooled limit when it cannot ask
 	startTokens = 0.25                   // share of its burst that a host starts with: it may have been here before
 )
 
@@ -33,7 +39,8 @@
 // part is this host's part of one limit.
 type part struct {
 	limit  Limit
-	bucket *limiter.Bucket
+	bucket *limiter.Bucket     // the host's part, or its zone's if the limit is pooled
+	alone  *limiter.Bucket     // for a pooled limit, when the host that holds it cannot be asked
 	asked  int                 // requests since the last sample
 	demand float64             // requests a second, a moving average
 	told   [toldRounds]float64 // what the demand was in the latest rounds, oldest first
@@ -45,6 +52,7 @@
 	mu      sync.Mutex
 	parts   map[string]*part
 	hosts   int // that may take part, reachable or not; at least 1
+	zone    int // those of them in the own zone; 1 to hosts
 	heard   int // that were heard of lately, the own one included; 1 to hosts
 	sampled time.Duration
 	overage float64 // share by which the sum may exceed each limit
@@ -53,7 +61,7 @@
 // New returns a divider without limits for a host that counts on some hosts.
 // The parts of all hosts add up to the limit and an overage.
 func New(hosts int, overage float64) *Divider {
-	return &Divider{parts: map[string]*part{}, hosts: max(hosts, 1), heard: 1, overage: overage}
+	return &Divider{parts: map[string]*part{}, hosts: max(hosts, 1), zone: 1, heard: 1, overage: overage}
 }
 
 // SetLimits replaces the limits. Parts of those that stay keep their tokens.
@@ -73,12 +81,21 @@
 	d.parts = parts
 }
 
-// SetOthers takes in how many hosts may take part, how many were heard of, and
-// what demand the others among these told.
-func (d *Divider) SetOthers(now time.Duration, hosts, heard int, demand map[string]float64) {
+// Others is what a host knows of the others.
+type Others struct {
+	Hosts  int                // that may take part, the own one included
+	Zone   int                // those of them in the own zone
+	Heard  int                // that were heard of lately, the own one included
+	Demand map[string]float64 // requests a second that the others told, by limit
+}
+
+// SetOthers takes in what is known of the other hosts.
+func (d *Divider) SetOthers(now time.Duration, others Others) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.hosts = max(hosts, heard, 1)
+	heard, demand := others.Heard, others.Demand
+	d.hosts = max(others.Hosts, heard, 1)
+	d.zone = max(1, min(others.Zone, d.hosts))
 	d.heard = max(heard, 1)
 	span := now - d.sampled
 	for name, p := range d.parts {
@@ -104,25 +121,36 @@
 // claim returns the demand that the host's share follows. A rise counts only
 // once the others have heard of it: if each host acted on its own rise at once,
 // while it still believed the others to be as before, all shares would rise.
-func (p *part) claim() float64 {
-	claim := p.demand
-	for _, told := range p.told {
-		claim = min(claim, told)
-	}
-	return claim
-}
+func (p *part) claim() float64 { return min(p.demand, p.told[0]) }
 
 // share returns the host's share of a limit. Hosts that cannot hear one another
 // take no more than their even parts together.
 func (d *Divider) share(p *part) float64 {
-	even := 1 / float64(d.hosts)
-	idle := idleDemand * p.limit.Rate * even
-	own := p.claim() + idle
+	one := 1 / float64(d.hosts)
+	members := 1.0
+	if d.pooled(p) {
+		members = float64(d.zone)
+	}
+	even := one * members
+	idle := idleDemand * p.limit.Rate * one
+	own := p.claim() + idle*members
 	all := p.claim() + p.others + idle*float64(d.heard)
-	moved := float64(d.heard) * even * own / all
+	moved := float64(d.heard) * one * own / all
 	return floorShare*even + (1-floorShare)*moved
 }
 
+func (d *Divider) pooled(p *part) bool {
+	return p.limit.Burst < pooledBelow*float64(d.hosts)
+}
+
+// Pooled reports whether one host of each zone holds a limit for the zone.
+func (d *Divider) Pooled(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.parts[name]
+	return p != nil && d.zone > 1 && d.pooled(p)
+}
+
 func (d *Divider) resize(now time.Duration, p *part) {
 	share := d.share(p) * (1 + d.overage)
 	amount := limiter.Amount{
@@ -137,6 +165,13 @@
 		tokens = p.bucket.Tokens(now)
 	}
 	p.bucket = limiter.NewBucket(amount, tokens, now)
+	alone := limiter.Amount{
+		Rate:     int64(aloneShare * p.limit.Rate / float64(d.hosts) * float64(limiter.Unit)),
+		Capacity: limiter.Unit,
+	}
+	if p.alone == nil || p.alone.Amount() != alone {
+		p.alone = limiter.NewBucket(alone, 0, now)
+	}
 }
 
 // Take charges one request to a limit. If it is used up, the duration says when
@@ -149,10 +184,26 @@
 		return true, 0
 	}
 	p.asked++
-	if p.bucket.Take(now, limiter.Unit) {
+	return take(now, p.bucket)
+}
+
+// TakeAlone charges one request to a pooled limit when the host that holds it
+// cannot be asked.
+func (d *Divider) TakeAlone(now time.Duration, name string) (bool, time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.parts[name]
+	if p == nil {
+		return true, 0
+	}
+	return take(now, p.alone)
+}
+
+func take(now time.Duration, bucket *limiter.Bucket) (bool, time.Duration) {
+	if bucket.Take(now, limiter.Unit) {
 		return true, 0
 	}
-	wait, ok := p.bucket.Wait(now, limiter.Unit)
+	wait, ok := bucket.Wait(now, limiter.Unit)
 	if !ok {
 		wait = time.Second
 	}
--- a/pkg/divider/fleet_test.go
+++ b/pkg/divider/fleet_test.go
@@ -28,6 +28,7 @@
 type scenario struct {
 	Name    string
 	Hosts   int
+	Zones   int // hosts are dealt to them in turn; 0 means that each is its own
 	Rate    float64
 	Burst   float64
 	Seconds float64
@@ -48,6 +49,7 @@
 
 type host struct {
 	divider *divider.Divider
+	zone    int
 	weight  float64 // part of the demand that comes here
 	cut     bool
 	news    map[int]heard
@@ -73,9 +75,13 @@
 
 func newFleet(s scenario, seed uint64) *fleet {
 	f := &fleet{scenario: s, rng: rand.New(rand.NewPCG(seed, 1))}
-	for range s.Hosts {
-		f.hosts = append(f.hosts, &host{weight: 1, news: map[int]heard{}})
+	if s.Zones == 0 {
+		s.Zones = s.Hosts
 	}
+	for i := range s.Hosts {
+		f.hosts = append(f.hosts, &host{weight: 1, zone: i % s.Zones, news: map[int]heard{}})
+	}
+	f.scenario = s
 	for _, h := range f.hosts {
 		f.start(h, 0)
 	}
@@ -100,7 +106,7 @@
 		f.deliver(now)
 		f.ask(now)
 		for i, h := range f.hosts {
-			if now%exchange == time.Duration(i)*step {
+			if now%exchange == time.Duration(i)*step%exchange {
 				f.exchange(now, i, h)
 			}
 		}
@@ -158,7 +164,7 @@
 				break
 			}
 			f.asked = append(f.asked, now)
-			if ok, _ := h.divider.Take(now, "w"); ok {
+			if f.take(now, h) {
 				f.admitted = append(f.admitted, now)
 			} else {
 				f.refused++
@@ -167,6 +173,25 @@
 	}
 }
 
+// take charges a request at the host that holds the limit.
+func (f *fleet) take(now time.Duration, h *host) bool {
+	holder := h
+	if h.divider.Pooled("w") {
+		for _, other := range f.hosts {
+			if other.zone == h.zone {
+				holder = other
+				break
+			}
+		}
+	}
+	if holder.cut != h.cut {
+		ok, _ := h.divider.TakeAlone(now, "w")
+		return ok
+	}
+	ok, _ := holder.divider.Take(now, "w")
+	return ok
+}
+
 func (f *fleet) exchange(now time.Duration, i int, h *host) {
 	others, count := 0.0, 1
 	for from, n := range h.news {
@@ -177,7 +202,15 @@
 			delete(h.news, from)
 		}
 	}
-	h.divider.SetOthers(now, len(f.hosts), count, map[string]float64{"w": others})
+	zone := 0
+	for _, other := range f.hosts {
+		if other.zone == h.zone {
+			zone++
+		}
+	}
+	h.divider.SetOthers(now, divider.Others{
+		Hosts: len(f.hosts), Zone: zone, Heard: count, Demand: map[string]float64{"w": others},
+	})
 	for to := range f.hosts {
 		if to != i && f.rng.Float64() > 0.02 {
 			due := now + time.Duration(f.rng.Float64()*float64(mostRelay))
