--- a/internal/carrier/answer.go
+++ b/internal/carrier/answer.go
@@ -41,7 +41,7 @@
 	}
 	c.mayHaveRun = c.mayHaveRun || word == trailUnknown
 	if c.trail != "" {
-		c.trail += " "
+		c.trail += " | "
 	}
 	took := c.carrier.clock.Now() - pick.Began()
 	c.trail += pick.ID() + ":" + word + ":" + strconv.FormatInt(took.Milliseconds(), 10) + "ms"
--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -11,6 +11,7 @@
 
 	"magnoliahill.example/magnoliahill/internal/loader"
 	"magnoliahill.example/magnoliahill/internal/parser"
+	"magnoliahill.example/magnoliahill/platform"
 )
 
 func init() {
@@ -22,6 +23,7 @@
 type checkCommand struct {
 	out      *output
 	Settings bool `long:"settings" description:"the files are daemons' settings"`
+	Platform bool `long:"platform" description:"the files are settings that the platform wrote"`
 	Args     struct {
 		Files []string `positional-arg-name:"FILE" description:"files, or folders of .yaml files" required:"1"`
 	} `positional-args:"true" required:"true"`
@@ -29,7 +31,7 @@
 
 // Execute implements command.
 func (c *checkCommand) Execute([]string) error {
-	if c.Settings {
+	if c.Settings || c.Platform {
 		return c.checkSettings()
 	}
 	docs, err := readDocuments(c.Args.Files)
@@ -47,7 +49,7 @@
 
 func (c *checkCommand) checkSettings() error {
 	for _, file := range c.Args.Files {
-		if _, err := loader.Load(file); err != nil {
+		if err := c.checkOne(file); err != nil {
 			return failed(ExitUsage, err)
 		}
 	}
@@ -55,6 +57,24 @@
 	return nil
 }
 
+func (c *checkCommand) checkOne(file string) error {
+	if !c.Platform {
+		_, err := loader.Load(file)
+		return err
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "platform settings could not be read")
+	}
+	settings, err := platform.ParseSettings(filepath.Base(file), data)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(c.out.stdout, "host %s in %s (%s): requests at %s, look-ups at %s, store at %s, grace %s\n",
+		settings.Host, settings.Zone, settings.Region, settings.Data, settings.Lookup, settings.Store, settings.Grace)
+	return nil
+}
+
 // readDocuments reads files and the YAML files of folders. A file is known by
 // its base name, so that it is the same file from wherever it is published.
 func readDocuments(paths []string) ([]parser.Document, error) {
--- a/internal/commander/join.go
+++ b/internal/commander/join.go
@@ -43,9 +43,6 @@
 
 // Execute implements command.
 func (c *joinCommand) Execute([]string) error {
-	lines := logger.New(c.out.stdout)
-	klog.SetOutput(lines)
-	defer lines.Flush()
 	file := &settingsFile{path: c.Args.Settings}
 	if file.path == "" {
 		file.path = platform.SettingsFile()
@@ -57,6 +54,9 @@
 	if err != nil {
 		return failed(ExitUsage, err)
 	}
+	lines := logger.New(c.out.stdout, settings.Host)
+	klog.SetOutput(lines)
+	defer lines.Flush()
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * heapShare * (1 << 20)))
 	options := []conductor.Option{conductor.WithReload(file.read)}
 	if c.Metrics > 0 {
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -22,6 +22,7 @@
 // Writer is a bounded buffer before an output.
 type Writer struct {
 	out     io.Writer
+	prefix  string // before each line
 	lines   *rate.Limiter
 	mu      sync.Mutex
 	buffer  bytes.Buffer
@@ -30,18 +31,20 @@
 	writing sync.Mutex
 }
 
-// New returns a writer to an output.
-func New(out io.Writer) *Writer {
-	return &Writer{out: out, lines: rate.NewLimiter(maxLines, maxBurst)}
+// New returns a writer to an output that begins each line with the name of the
+// host, so that lines of several hosts can be joined.
+func New(out io.Writer, host string) *Writer {
+	return &Writer{out: out, prefix: host + " ", lines: rate.NewLimiter(maxLines, maxBurst)}
 }
 
 // Write takes one line. It never blocks on the output.
 func (w *Writer) Write(line []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.buffer.Len()+len(line) > maxBuffered || !w.lines.Allow() {
+	if w.buffer.Len()+len(w.prefix)+len(line) > maxBuffered || !w.lines.Allow() {
 		w.dropped++
 	} else {
+		w.buffer.WriteString(w.prefix)
 		w.buffer.Write(line)
 	}
 	if !w.pending {
@@ -59,7 +62,7 @@
 	waiting := append([]byte(nil), w.buffer.Bytes()...)
 	w.buffer.Reset()
 	if w.dropped > 0 {
-		waiting = fmt.Appendf(waiting, "\"log lines dropped\" count=%d\n", w.dropped)
+		waiting = fmt.Appendf(waiting, "%s\"log lines dropped\" count=%d\n", w.prefix, w.dropped)
 		w.dropped = 0
 	}
 	w.pending = false
