conductor: do not lose removals that a list swallowed; placer: no shared reads

Cause 1: after a list a host told others that it knew all removals since its latest object, though a removal between that and the list stood nowhere. Hosts also listed needlessly while their watch paused after changes; they now wait a second.

A pick now holds copies.

--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -23,7 +23,7 @@
 	maxDatagram = 60 << 10               // bytes
 	outageLife  = time.Minute            // outages are told for so long: registrations come back in seconds
 	askTimeout  = 800 * time.Millisecond // for another host's objects
-	behindFor   = 400 * time.Millisecond // a watch that others are ahead of for so long is silent; a slow store takes 240 ms
+	behindFor   = time.Second            // a watch that others are ahead of for so long is silent: it pauses 0.7 s after changes, and a slow store takes 0.24 s
 )
 
 // greet sends the heartbeats that are due.
@@ -216,11 +216,11 @@
 func (l *loop) askPeers(now time.Duration) {
 	ask := map[string][]*peerv1.Position{}
 	for kind, t := range l.tables {
-		if t.ahead <= t.revision {
+		if t.ahead <= t.upTo() {
 			continue
 		}
 		if !l.watching || t.lost || !t.known {
-			ask[t.aheadHost] = append(ask[t.aheadHost], &peerv1.Position{Kind: kind, Revision: t.revision})
+			ask[t.aheadHost] = append(ask[t.aheadHost], &peerv1.Position{Kind: kind, Revision: t.upTo()})
 		} else if t.behind(now) {
 			klog.InfoS("watch is behind", "kind", kind, "revision", t.revision, "others", t.ahead)
 			t.aheadSince = now
@@ -270,7 +270,7 @@
 	}
 	for _, wire := range m.tables {
 		t := l.tables[wire.GetKind()]
-		if t == nil || l.watching && !t.lost && t.known || wire.GetRevision() <= t.revision {
+		if t == nil || l.watching && !t.lost && t.known || wire.GetRevision() <= t.upTo() {
 			continue
 		}
 		l.learn(now, t, wire)
@@ -283,15 +283,12 @@
 	objects := messenger.DecodeTable(wire)
 	klog.V(1).InfoS("objects learned from host", "kind", t.kind, "from", t.revision,
 		"revision", objects.Revision(), "objects", len(objects.Items()), "changes", wire.GetChanges())
-	if wire.GetChanges() && t.known {
-		t.change(objects)
-		t.revision = max(t.revision, objects.Revision())
+	changes := wire.GetChanges() && t.known
+	t.learn(objects, wire.GetComplete(), changes)
+	if changes {
 		l.changed(now, t.kind, &objects)
 		return
 	}
-	t.replace(objects)
-	t.revision = max(t.revision, objects.Revision())
-	t.complete = t.revision
 	l.changed(now, t.kind, nil)
 }
 
@@ -330,7 +327,7 @@
 	for _, p := range m.known {
 		if t := l.tables[p.GetKind()]; t != nil && t.known && t.revision > p.GetRevision() {
 			objects, changes := t.since(p.GetRevision())
-			tables = append(tables, messenger.EncodeTable(t.kind, objects, changes))
+			tables = append(tables, messenger.EncodeTable(t.kind, objects, t.complete, changes))
 		}
 	}
 	m.answer <- tables
--- a/internal/conductor/table.go
+++ b/internal/conductor/table.go
@@ -22,8 +22,8 @@
 	kind     string
 	items    map[string]keeper.Item
 	removed  []keeper.Item // latest removals, by revision
-	complete int64         // all changes after this revision stand in items or removed
-	revision int64         // of the latest change known; never falls
+	complete int64         // all changes up to it are in items, and those after it in items or removed
+	revision int64         // of the latest change known, told to other hosts; never falls
 	known    bool          // the kind was listed, by the store or another host
 	lost     bool          // the store does not answer this host
 
@@ -49,7 +49,19 @@
 		t.revision = max(t.revision, t.ahead)
 	}
 	t.removed = nil
-	t.complete = t.revision
+	t.complete = max(all.Revision(), t.revision)
+}
+
+// learn takes in what another host knows: all objects, or what changed since the
+// own revision. That host knows all removals after a revision of its own.
+func (t *table) learn(objects keeper.Table, complete int64, changes bool) {
+	if changes && t.known {
+		t.change(objects)
+	} else {
+		t.replace(objects)
+		t.complete = complete
+	}
+	t.revision = max(t.revision, objects.Revision())
 }
 
 // change takes in objects that changed.
@@ -87,12 +99,15 @@
 	return keeper.NewTable(items, t.revision), changes
 }
 
+// upTo returns the revision up to which all changes are known.
+func (t *table) upTo() int64 { return max(t.revision, t.complete) }
+
 // heard takes in how far another host has followed the kind.
 func (t *table) heard(now time.Duration, revision int64, control string) {
-	if revision <= t.revision {
+	if revision <= t.upTo() {
 		return
 	}
-	if t.ahead <= t.revision {
+	if t.ahead <= t.upTo() {
 		t.aheadSince = now
 	}
 	if revision > t.ahead {
@@ -103,7 +118,7 @@
 
 // behind reports whether others have been ahead for a while.
 func (t *table) behind(now time.Duration) bool {
-	return t.ahead > t.revision && now-t.aheadSince >= behindFor
+	return t.ahead > t.upTo() && now-t.aheadSince >= behindFor
 }
 
 // limits returns the rates that all hosts share.
--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -229,8 +229,9 @@
 }
 
 // EncodeTable maps objects of a kind to the wire: all of them, or only changes.
-func EncodeTable(kind string, table keeper.Table, changes bool) *peerv1.ObjectTable {
-	wire := &peerv1.ObjectTable{Kind: kind, Revision: table.Revision(), Changes: changes}
+// The sender knows all removals after a revision.
+func EncodeTable(kind string, table keeper.Table, complete int64, changes bool) *peerv1.ObjectTable {
+	wire := &peerv1.ObjectTable{Kind: kind, Revision: table.Revision(), Complete: complete, Changes: changes}
 	for _, item := range table.Items() {
 		wire.Objects = append(wire.Objects, &peerv1.StoredObject{
 			Name: item.Name(), Revision: item.Revision(), Content: item.Content(), Deleted: item.Deleted(),
--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -18,7 +18,10 @@
 
 // Pick is a place at a backend server, to be given back by Done.
 type Pick struct {
-	server *server
+	server *server // guarded by the placer's lock
+	id     string
+	at     string // address
+	region string
 	object objectKey
 	times  *times
 	began  time.Duration
@@ -30,13 +33,13 @@
 }
 
 // ID returns the backend server's id.
-func (p Pick) ID() string { return p.server.ID() }
+func (p Pick) ID() string { return p.id }
 
 // Address returns the backend server's host:port.
-func (p Pick) Address() string { return p.server.Address() }
+func (p Pick) Address() string { return p.at }
 
 // Region returns where the backend server is.
-func (p Pick) Region() string { return p.server.region }
+func (p Pick) Region() string { return p.region }
 
 // Rank returns the place in the object's order of servers; 0 is first.
 func (p Pick) Rank() int { return p.rank }
@@ -223,7 +226,7 @@
 	s.running++
 	key := objectKey{c.query.Route, c.query.Object}
 	return Pick{
-		server: s, object: key, times: c.times, seen: s.warm(c.now, key),
+		server: s, id: s.ID(), at: s.Address(), region: s.region, object: key, times: c.times, seen: s.warm(c.now, key),
 		began: c.now, run: found.run, wait: found.wait, rank: found.rank, load: load,
 	}
 }
