--- /dev/null
+++ b/pkg/greeter/greeter_test.go
@@ -0,0 +1,124 @@
+package greeter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"magnoliahill.example/magnoliahill/pkg/greeter"
+	"magnoliahill.example/magnoliahill/pkg/tracker"
+)
+
+// net is hosts that greet one another in virtual time, every half second.
+type net struct {
+	now   time.Duration
+	hosts map[string]*host
+	lost  func(from, to string) bool
+	sent  int
+}
+
+type host struct {
+	name, zone string
+	tracker    *tracker.Tracker
+	greeter    *greeter.Greeter
+	demand     map[uint32]float64
+	down       bool
+}
+
+func newNet(zones, each int) *net {
+	n := &net{hosts: map[string]*host{}, lost: func(string, string) bool { return false }}
+	var contacts []greeter.Contact
+	for z := range zones {
+		for i := range each {
+			name, zone := fmt.Sprintf("h%d-%d", z, i), fmt.Sprint("z", z)
+			beat := tracker.Beat{ID: tracker.HostID{Name: name, Incarnation: uint64(100*z + i + 1)}, Zone: zone, Control: name}
+			t := tracker.New(beat, tracker.WithSilence(2200*time.Millisecond))
+			n.hosts[name] = &host{
+				name: name, zone: zone, tracker: t, greeter: greeter.New(name, zone, t, nil), demand: map[uint32]float64{1: 1},
+			}
+			contacts = append(contacts, greeter.Contact{Name: name, Zone: zone, Control: name})
+		}
+	}
+	for _, h := range n.hosts {
+		h.greeter.SetContacts(contacts)
+	}
+	return n
+}
+
+func (n *net) round() {
+	n.now += 500 * time.Millisecond
+	for _, h := range n.hosts {
+		if h.down {
+			continue
+		}
+		for _, letter := range h.greeter.Letters(n.now) {
+			to := n.hosts[letter.Control]
+			n.sent++
+			if to == h || to.down || n.lost(h.name, to.name) {
+				continue
+			}
+			beats := h.tracker.Beats(n.now)
+			if letter.Full {
+				to.tracker.Heard(n.now, beats...)
+			}
+			to.tracker.HeardPulses(n.now, h.tracker.Pulses(n.now))
+			to.greeter.Heard(n.now, h.name, h.zone, h.greeter.Digest(n.now), h.greeter.Records(n.now, h.demand, letter.Foreign))
+		}
+	}
+}
+
+func (n *net) rounds(count int) {
+	for range count {
+		n.round()
+	}
+}
+
+func TestAllHostsHearOfAllOthersAndTheirDemand(t *testing.T) {
+	is := is.New(t)
+	n := newNet(6, 5)
+	n.rounds(8) // what was told before duties settled holds for three seconds
+	for _, h := range n.hosts {
+		is.Equal(len(h.tracker.Live(n.now)), 30)
+		is.Equal(h.greeter.Others(n.now)[1], 29.0)
+	}
+}
+
+// Letters to other zones come from two hosts of a zone only.
+func TestLettersGrowWithZonesNotHosts(t *testing.T) {
+	is := is.New(t)
+	n := newNet(4, 10)
+	n.rounds(6)
+	n.sent = 0
+	n.round()
+	within, between := 40*9, 4*2*3*2
+	is.Equal(n.sent, within+between)
+}
+
+func TestHostThatFallsSilentIsForgottenEverywhere(t *testing.T) {
+	is := is.New(t)
+	n := newNet(3, 4)
+	n.rounds(6)
+	n.hosts["h0-0"].down = true
+	n.rounds(9) // its heartbeats are relayed once more at most
+	for _, h := range n.hosts {
+		if !h.down {
+			is.Equal(len(h.tracker.Live(n.now)), 11)
+			is.Equal(h.greeter.Others(n.now)[1], 10.0) // its demand does not go round for ever
+		}
+	}
+}
+
+func TestZoneThatIsCutOffKnowsItself(t *testing.T) {
+	is := is.New(t)
+	n := newNet(3, 4)
+	n.rounds(6)
+	n.lost = func(from, to string) bool { return (n.hosts[from].zone == "z0") != (n.hosts[to].zone == "z0") }
+	n.rounds(9)
+	is.Equal(len(n.hosts["h0-0"].tracker.Live(n.now)), 4)
+	is.Equal(len(n.hosts["h1-0"].tracker.Live(n.now)), 8)
+	n.lost = func(string, string) bool { return false }
+	n.rounds(6)
+	is.Equal(len(n.hosts["h0-0"].tracker.Live(n.now)), 12)
+}
--- /dev/null
+++ b/pkg/limiter/budget_test.go
@@ -0,0 +1,47 @@
+package limiter_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"magnoliahill.example/magnoliahill/pkg/limiter"
+)
+
+// Over any stretch of first tries and retries, retries stay within the size and
+// the share of the first tries in it.
+func TestBudgetHoldsOverAnyStretch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.Float64Range(0, 0.5).Draw(t, "ratio")
+		size := rapid.Float64Range(0, 20).Draw(t, "size")
+		b := limiter.NewBudget(ratio, size)
+		var firsts, retries []float64
+		earned, spent := 0.0, 0.0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "first") {
+				b.Earn()
+				earned++
+			} else if b.Spend() {
+				spent++
+			}
+			firsts, retries = append(firsts, earned), append(retries, spent)
+		}
+		for i := range retries {
+			for j := i; j < len(retries); j++ {
+				if retries[j]-retries[i] > size+ratio*(firsts[j]-firsts[i])+1e-9 {
+					t.Fatalf("%v retries for %v first tries", retries[j]-retries[i], firsts[j]-firsts[i])
+				}
+			}
+		}
+	})
+}
+
+func TestBudgetThatShrinksKeepsNoMore(t *testing.T) {
+	is := is.New(t)
+	b := limiter.NewBudget(0, 5)
+	b.Resize(2)
+	is.True(b.Spend())
+	is.True(b.Spend())
+	is.True(!b.Spend())
+}
