target: give each listener of the tests a loopback address of its own

Cause: TestPromisesHoldUnderAllFaults failed once beside other plays. Traced by 24 runs at once, of which most failed: listen tcp 127.0.0.1:0: address already in use. Its 512 cases with new connections, and those of soaks before it, use up the ports of one address. Each loopback address has its own. No check changed.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -79,7 +79,12 @@
 	s.catalog = s.config(1)
 	s.register(s.targets...)
 	s.carrier.SetView(carrier.NewView(s.catalog, carrier.Serving, 0, carrier.Stop{}))
-	s.front = httptest.NewServer(s.carrier)
+	listener, err := target.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.front = &httptest.Server{Listener: listener, Config: &http.Server{Handler: s.carrier}}
+	s.front.Start()
 	t.Cleanup(s.front.Close)
 	return s
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"magnoliahill.example/magnoliahill/pkg/marker"
@@ -66,9 +68,18 @@
 	return func(t *Target) { t.service = d }
 }
 
-// Start listens at a free port of the loopback address.
+var listeners atomic.Uint32 // opened so far in this process
+
+// Listen listens at a free port of the next loopback address. Each address has
+// ports of its own, so that tests with many connections do not run out of them.
+func Listen() (net.Listener, error) {
+	n := listeners.Add(1) + uint32(os.Getpid())
+	return net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+n>>16%100, n>>8%256, 1+n%254))
+}
+
+// Start listens at a free port of a loopback address.
 func Start(instance string, words marker.Vocabulary, options ...Option) (*Target, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := Listen()
 	if err != nil {
 		return nil, err
 	}
