--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -67,6 +67,9 @@
 	}
 	w.pending = false
 	w.mu.Unlock()
+	if len(waiting) == 0 {
+		return
+	}
 	// Nothing is left to tell when the output itself fails.
 	_, _ = w.out.Write(waiting)
 }
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -23,6 +23,12 @@
 	return s.text.Write(p)
 }
 
+func (s *sink) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.String()
+}
+
 func TestLinesBearTheHost(t *testing.T) {
 	is := is.New(t)
 	out := &sink{}
@@ -30,7 +36,7 @@
 	_, err := w.Write([]byte("one\n"))
 	is.NoErr(err)
 	w.Flush()
-	is.Equal(out.text.String(), "h1 one\n")
+	is.Equal(out.String(), "h1 one\n")
 }
 
 // A log that nobody reads holds up no request, and says what it dropped.
@@ -47,7 +53,7 @@
 	}
 	out.mu.Unlock()
 	w.Flush()
-	text := out.text.String()
+	text := out.String()
 	is.True(strings.Contains(text, "log lines dropped"))
 	is.True(strings.Count(text, "\n") < lines)
 }
