soak: never start a second process of a host

Ruled out: the program, whose hosts of that run never called a backend server without an id.

A host is started only if no other fault started it since its process ended.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,7 +37,12 @@
 )
 
 // regressions are seeds that failed once, each with its cause.
-var regressions = []uint64{}
+var regressions = []uint64{
+	// Two faults restarted one host twice; the first process outlived its run and
+	// called the store at a port that a later run gave to a backend server. A
+	// fault of the soak itself, in startAfter.
+	9003,
+}
 
 const (
 	grace   = 3 * time.Second
@@ -78,12 +83,13 @@
 
 // process is one entry host.
 type process struct {
-	mu      sync.Mutex
-	command *exec.Cmd
-	name    string
-	file    string
-	log     *os.File
-	exited  chan struct{}
+	starting sync.Mutex // held while it is decided whether to start one
+	mu       sync.Mutex
+	command  *exec.Cmd
+	name     string
+	file     string
+	log      *os.File
+	exited   chan struct{}
 }
 
 func TestSoak(t *testing.T) {
@@ -361,15 +367,28 @@
 }
 
 // restart waits for the end of a process that was told to end, and starts it.
+// Faults that overlap on one host restart it once: a second process would outlive
+// the run.
 func (s *soak) restart(h *process) {
+	exited := h.ended()
 	select {
-	case <-h.ended():
+	case <-exited:
 	case <-time.After(grace):
 		h.signal(syscall.SIGCONT) // another fault may have paused it
 		h.signal(syscall.SIGKILL)
-		<-h.ended()
+		<-exited
+	}
+	s.startAfter(h, exited)
+}
+
+// startAfter starts a host unless it was started again since a process of it
+// ended.
+func (s *soak) startAfter(h *process, exited chan struct{}) {
+	h.starting.Lock()
+	defer h.starting.Unlock()
+	if h.ended() == exited {
+		s.start(h)
 	}
-	s.start(h)
 }
 
 func (s *soak) heal() {
@@ -381,9 +400,10 @@
 	}
 	for _, h := range s.hosts {
 		h.signal(syscall.SIGCONT)
+		exited := h.ended()
 		select {
-		case <-h.ended(): // two faults met
-			s.start(h)
+		case <-exited: // two faults met
+			s.startAfter(h, exited)
 		default:
 		}
 	}
@@ -453,7 +473,7 @@
 				s.t.Errorf("%s: %s ran for workspace %q", id, run.Target, tenant)
 			}
 			if run.Body != "brooms" {
-				s.t.Errorf("%s: a backend server got the body %q", id, run.Body)
+				s.t.Errorf("%q: a backend server got %s %s with the body %q", id, run.Method, run.Target, run.Body)
 			}
 		}
 	}
