logger: one log for single connections; drop aliases and a needless case

Read again: the conductor had written its own copy of the log that the server gives net/http, two type aliases stood between conductor and placer, and the room set aside for an answer was worked out in two steps. The server's log moves to internal/logger and serves both; the rest is gone. Behaviour stays, but that a body without a length no longer gets 64 KB ahead of its first byte.

--- a/internal/conductor/beliefs.go
+++ b/internal/conductor/beliefs.go
@@ -5,8 +5,10 @@
 
 	"k8s.io/klog/v2"
 
+	"magnoliahill.example/magnoliahill/internal/exchanger"
 	"magnoliahill.example/magnoliahill/internal/keeper"
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
+	"magnoliahill.example/magnoliahill/pkg/placer"
 	"magnoliahill.example/magnoliahill/pkg/registrar"
 )
 
@@ -120,9 +122,9 @@
 	if l.catalog == nil {
 		return
 	}
-	services := make([]placerService, 0, len(l.catalog.Services()))
+	services := make([]placer.Service, 0, len(l.catalog.Services()))
 	for _, s := range l.catalog.Services() {
-		services = append(services, placerService{Name: s.Name(), ColdRate: s.ColdRate(), ColdStart: s.ColdStart()})
+		services = append(services, placer.Service{Name: s.Name(), ColdRate: s.ColdRate(), ColdStart: s.ColdStart()})
 	}
 	instances := l.registrar.Instances()
 	l.conductor.placer.Update(now, services, instances, l.evacuated)
@@ -131,9 +133,9 @@
 
 // retain keeps idle connections only to backend servers that are registered.
 func (l *loop) retain(instances []registrar.Registered) {
-	targets := make([]target, 0, len(instances))
+	targets := make([]exchanger.Target, 0, len(instances))
 	for _, i := range instances {
-		targets = append(targets, target{Address: i.Address(), Instance: i.ID()})
+		targets = append(targets, exchanger.Target{Address: i.Address(), Instance: i.ID()})
 	}
 	l.conductor.exchanger.Retain(targets)
 }
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -20,6 +20,7 @@
 	"magnoliahill.example/magnoliahill/internal/keeper"
 	"magnoliahill.example/magnoliahill/internal/lender"
 	"magnoliahill.example/magnoliahill/internal/loader"
+	"magnoliahill.example/magnoliahill/internal/logger"
 	"magnoliahill.example/magnoliahill/internal/messenger"
 	"magnoliahill.example/magnoliahill/internal/recorder"
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
@@ -161,7 +162,7 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeader,
-			ErrorLog:          quietLog(),
+			ErrorLog:          logger.Connections(),
 			BaseContext:       func(net.Listener) context.Context { return c.base },
 		}
 		c.servers = append(c.servers, server)
--- a/internal/conductor/handlers.go
+++ b/internal/conductor/handlers.go
@@ -1,10 +1,7 @@
 package conductor
 
 import (
-	"io"
-	"log"
 	"net/http"
-	"strings"
 
 	"github.com/alexedwards/flow"
 
@@ -54,8 +51,3 @@
 	}
 	_ = c.recorder.Latency().WriteText(w) // the same
 }
-
-// quietLog drops what net/http has to say of single connections.
-func quietLog() *log.Logger {
-	return log.New(io.Discard, strings.TrimSpace(""), 0)
-}
--- a/internal/conductor/table.go
+++ b/internal/conductor/table.go
@@ -3,16 +3,9 @@
 import (
 	"time"
 
-	"magnoliahill.example/magnoliahill/internal/exchanger"
 	"magnoliahill.example/magnoliahill/internal/keeper"
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
 	"magnoliahill.example/magnoliahill/pkg/divider"
-	"magnoliahill.example/magnoliahill/pkg/placer"
-)
-
-type (
-	placerService = placer.Service
-	target        = exchanger.Target
 )
 
 const maxRemoved = 512 // removals that are remembered for other hosts
--- a/internal/exchanger/answer.go
+++ b/internal/exchanger/answer.go
@@ -80,12 +80,8 @@
 
 // answer reads the body, the whole of it unless it is long.
 func (x *exchange) answer(resp *http.Response) (*Answer, error) {
-	limit := resp.ContentLength
-	if limit < 0 || limit > maxBuffered {
-		limit = maxBuffered
-	}
 	var body bytes.Buffer
-	body.Grow(int(min(limit, 64<<10)))
+	body.Grow(int(min(max(resp.ContentLength, 0), firstGrow)))
 	n, err := io.Copy(&body, io.LimitReader(resp.Body, maxBuffered+1))
 	if err != nil {
 		return nil, errors.Wrap(ErrBroken, err.Error())
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -31,12 +31,13 @@
 )
 
 const (
-	maxBuffered  = 1 << 20 // bytes of an answer that are read before any is passed on
-	maxForeign   = 4       // answers to other requests that are skipped
-	orderIdle    = 0.5     // share of the allowed idle time after which no order is sent
-	requestIdle  = 0.8     // the same for requests that may be sent again
-	keepShare    = 0.6     // share of a stated idle limit that is made use of
-	interimLimit = 8       // interim answers that are skipped
+	maxBuffered  = 1 << 20  // bytes of an answer that are read before any is passed on
+	firstGrow    = 64 << 10 // bytes set aside at most before any has come
+	maxForeign   = 4        // answers to other requests that are skipped
+	orderIdle    = 0.5      // share of the allowed idle time after which no order is sent
+	requestIdle  = 0.8      // the same for requests that may be sent again
+	keepShare    = 0.6      // share of a stated idle limit that is made use of
+	interimLimit = 8        // interim answers that are skipped
 )
 
 // Target is one run of a backend server.
--- a/internal/server/certificate.go
+++ b/internal/server/certificate.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"log"
 	"os"
 	"sync"
 	"time"
@@ -60,15 +59,3 @@
 func (c *certificate) config() *tls.Config {
 	return &tls.Config{GetCertificate: c.get, MinVersion: tls.VersionTLS12}
 }
-
-// quietLog sends what net/http reports of single connections to the verbose
-// log: callers that break off are no change of state.
-func quietLog() *log.Logger { return log.New(verbose{}, "", 0) }
-
-type verbose struct{}
-
-// Write implements io.Writer.
-func (verbose) Write(p []byte) (int, error) {
-	klog.V(4).Info(string(p))
-	return len(p), nil
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -19,6 +19,7 @@
 	"magnoliahill.example/magnoliahill/internal/forwarder"
 	"magnoliahill.example/magnoliahill/internal/keeper"
 	"magnoliahill.example/magnoliahill/internal/loader"
+	"magnoliahill.example/magnoliahill/internal/logger"
 	"magnoliahill.example/magnoliahill/internal/messenger"
 	"magnoliahill.example/magnoliahill/internal/recorder"
 	"magnoliahill.example/magnoliahill/pkg/limiter"
@@ -196,13 +197,13 @@
 		IdleTimeout:       listen.IdleTimeout(),
 		MaxHeaderBytes:    listen.MaxHeader(),
 		Protocols:         protocols,
-		ErrorLog:          quietLog(),
+		ErrorLog:          logger.Connections(),
 	}
 	s.control = &http.Server{
 		Handler:           s.controlHandler(),
 		ReadHeaderTimeout: listen.HeaderTimeout(),
 		Protocols:         protocols,
-		ErrorLog:          quietLog(),
+		ErrorLog:          logger.Connections(),
 	}
 	if listen.Certificate() == "" {
 		return nil
