conductor: tell other hosts of requests under way at backend servers

Backend server i-6a5149a647 held so many that answers took 2.5 s, while each host believed a load of 0 to 4 there: 91 hosts ask one backend server 0.1 times a second each, so that the load in its answers is out of date when the next request comes.

Ruled out: spilling by load (rank 0 in 95 of 100 choices then), changes of registrations, evacuations.

Change: heartbeats carry what a host, or a zone's hosts, have under way at each backend server; the placer's load goes from the server's latest report to that sum as the report ages.

--- a/internal/conductor/beliefs.go
+++ b/internal/conductor/beliefs.go
@@ -8,6 +8,7 @@
 	"magnoliahill.example/magnoliahill/internal/exchanger"
 	"magnoliahill.example/magnoliahill/internal/keeper"
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
+	"magnoliahill.example/magnoliahill/pkg/greeter"
 	"magnoliahill.example/magnoliahill/pkg/placer"
 	"magnoliahill.example/magnoliahill/pkg/registrar"
 )
@@ -134,8 +135,10 @@
 // retain keeps idle connections only to backend servers that are registered.
 func (l *loop) retain(instances []registrar.Registered) {
 	targets := make([]exchanger.Target, 0, len(instances))
+	l.numbers = make(map[uint32]string, len(instances))
 	for _, i := range instances {
 		targets = append(targets, exchanger.Target{Address: i.Address(), Instance: i.ID()})
+		l.numbers[greeter.Number(i.ID())] = i.ID()
 	}
 	l.conductor.exchanger.Retain(targets)
 }
--- a/internal/conductor/loop.go
+++ b/internal/conductor/loop.go
@@ -47,6 +47,7 @@
 	catalog   *cataloger.Catalog
 	adopted   time.Duration // when the catalog was
 	evacuated []string
+	numbers   map[uint32]string // ids of backend servers, by what they go by between hosts
 	phase     carrier.Phase
 	stop      carrier.Stop
 	contacts  []greeter.Contact // registered hosts but this one
@@ -215,19 +216,21 @@
 	l.askPeers(now)
 }
 
-// share works out the own parts of the limits anew, and who may be named to
-// callers.
+// share works out the own parts of the limits anew, how busy backend servers
+// are, and who may be named to callers.
 func (l *loop) share(now time.Duration) {
 	l.count(now)
 	live := l.tracker.Live(now)
+	told := l.greeter.Others(now)
 	for kind, f := range l.followers {
 		if kind != l.kinds.Hosts { // nothing is bound to a time there
 			f.SetHosts(watchers(live))
 		}
 	}
 	l.conductor.divider.SetOthers(now, divider.Others{
-		Hosts: l.hosts, Zone: l.zoneHosts, Heard: len(live), Demand: l.others(now),
+		Hosts: l.hosts, Zone: l.zoneHosts, Heard: len(live), Demand: l.others(told),
 	})
+	l.conductor.placer.SetOthers(l.underWay(told))
 	l.conductor.lender.SetHosts(l.lenders(live))
 	l.conductor.steer(live)
 }
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -28,8 +28,9 @@
 
 // greet sends the heartbeats that are due.
 func (l *loop) greet(now time.Duration) {
+	load := l.load()
 	for _, letter := range l.greeter.Letters(now) {
-		l.conductor.send(letter.Control, l.greeting(now, letter))
+		l.conductor.send(letter.Control, l.greeting(now, letter, load))
 	}
 }
 
@@ -38,19 +39,20 @@
 	if !l.watching {
 		return
 	}
+	load := l.load()
 	for _, letter := range l.greeter.Letters(now) {
 		if !letter.Foreign {
-			l.conductor.send(letter.Control, l.greeting(now, letter))
+			l.conductor.send(letter.Control, l.greeting(now, letter, load))
 		}
 	}
 }
 
-func (l *loop) greeting(now time.Duration, letter greeter.Letter) *peerv1.Greeting {
+func (l *loop) greeting(now time.Duration, letter greeter.Letter, load greeter.Load) *peerv1.Greeting {
 	m := &peerv1.Greeting{
 		Digest:    l.greeter.Digest(now),
 		Watching:  l.watching,
 		StoreLost: l.outage(now),
-		Records:   messenger.EncodeRecords(l.greeter.Records(now, l.demand(), letter.Foreign)),
+		Records:   messenger.EncodeRecords(l.greeter.Records(now, load, letter.Foreign)),
 	}
 	if since := now - l.outageAt; l.outageAt > 0 && since < outageLife {
 		m.LostBefore = uint32(since.Milliseconds()) + 1
@@ -79,29 +81,43 @@
 	return m
 }
 
-// demand returns what the host was asked for lately, by number of the limit.
-func (l *loop) demand() map[uint32]float64 {
-	named := l.conductor.divider.Demand()
-	demand := make(map[uint32]float64, len(named))
-	for name, rate := range named {
-		demand[greeter.Limit(name)] = rate
-	}
-	return demand
+// load returns what the host was asked for lately and has under way.
+func (l *loop) load() greeter.Load {
+	demand := l.conductor.divider.Demand()
+	running := l.conductor.placer.Running()
+	load := greeter.Load{Demands: make(map[uint32]float64, len(demand)), Running: make(map[uint32]int, len(running))}
+	for name, rate := range demand {
+		load.Demands[greeter.Number(name)] = rate
+	}
+	for id, count := range running {
+		load.Running[greeter.Number(id)] = count
+	}
+	return load
 }
 
 // others returns the demand that other hosts told, by name of the limit.
-func (l *loop) others(now time.Duration) map[string]float64 {
+func (l *loop) others(told greeter.Load) map[string]float64 {
 	if l.catalog == nil {
 		return nil
 	}
-	told := l.greeter.Others(now)
-	named := make(map[string]float64, len(told))
+	named := make(map[string]float64, len(told.Demands))
 	for _, w := range l.catalog.Workspaces() {
-		named[w.Name()] = told[greeter.Limit(w.Name())]
+		named[w.Name()] = told.Demands[greeter.Number(w.Name())]
 	}
 	return named
 }
 
+// underWay returns the requests of other hosts by the backend server's id.
+func (l *loop) underWay(told greeter.Load) map[string]int {
+	running := make(map[string]int, len(told.Running))
+	for number, count := range told.Running {
+		if id, ok := l.numbers[number]; ok {
+			running[id] = count
+		}
+	}
+	return running
+}
+
 func (l *loop) ownZone(beats []tracker.Beat) []tracker.Beat {
 	var own []tracker.Beat
 	for _, b := range beats {
--- a/internal/conductor/stop.go
+++ b/internal/conductor/stop.go
@@ -39,9 +39,10 @@
 
 func (m *farewell) apply(l *loop, now time.Duration) {
 	l.tracker.SetState(tracker.Gone)
+	load := l.load()
 	for _, letter := range l.greeter.Letters(now) {
 		letter.Full = true
-		l.conductor.send(letter.Control, l.greeting(now, letter))
+		l.conductor.send(letter.Control, l.greeting(now, letter, load))
 	}
 	close(m.done)
 }
--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -198,22 +198,26 @@
 
 const tenths = 10 // demand is told in tenths of a request a second
 
-// EncodeRecords maps records of demand to the wire.
-func EncodeRecords(records []greeter.Record) []*peerv1.DemandRecord {
-	wire := make([]*peerv1.DemandRecord, 0, len(records))
+// EncodeRecords maps records of load to the wire.
+func EncodeRecords(records []greeter.Record) []*peerv1.LoadRecord {
+	wire := make([]*peerv1.LoadRecord, 0, len(records))
 	for _, r := range records {
-		one := &peerv1.DemandRecord{Scope: r.Scope}
+		one := &peerv1.LoadRecord{Scope: r.Scope}
 		for limit, rate := range r.Demands {
 			one.Demands = append(one.Demands, &peerv1.Demand{Limit: limit, Rate: uint32(rate*tenths + 0.5)})
 		}
+		for server, running := range r.Running {
+			one.Servers = append(one.Servers, server)
+			one.Running = append(one.Running, uint32(running))
+		}
 		wire = append(wire, one)
 	}
 	return wire
 }
 
-// DecodeRecords maps records of demand from the wire. One of an unknown scope is
+// DecodeRecords maps records of load from the wire. One of an unknown scope is
 // dropped.
-func DecodeRecords(wire []*peerv1.DemandRecord) []greeter.Record {
+func DecodeRecords(wire []*peerv1.LoadRecord) []greeter.Record {
 	records := make([]greeter.Record, 0, len(wire))
 	for _, w := range wire {
 		if !greeter.ValidScope(w.GetScope()) {
@@ -223,7 +227,14 @@
 		for _, d := range w.GetDemands() {
 			demands[d.GetLimit()] = float64(d.GetRate()) / tenths
 		}
-		records = append(records, greeter.Record{Scope: w.GetScope(), Demands: demands})
+		running := make(map[uint32]int, len(w.GetServers()))
+		for i, server := range w.GetServers() {
+			if i < len(w.GetRunning()) {
+				running[server] = int(w.GetRunning()[i])
+			}
+		}
+		load := greeter.Load{Demands: demands, Running: running}
+		records = append(records, greeter.Record{Scope: w.GetScope(), Load: load})
 	}
 	return records
 }
--- a/pkg/greeter/greeter.go
+++ b/pkg/greeter/greeter.go
@@ -1,5 +1,5 @@
 // Package greeter decides which hosts send one another heartbeats, and keeps
-// what they tell of demand. Hosts of an availability zone greet one another; two
+// what they tell of demand and of requests under way. Hosts of an availability zone greet one another; two
 // of each zone, drawn by rendezvous, also greet two of each other zone and pass
 // on what they hear. It does no I/O and is not safe for concurrent use.
 package greeter
@@ -17,7 +17,8 @@
 const (
 	dutyName   = "greet"
 	dutyHosts  = 2               // of each zone that greet other zones: one may fail
-	recordLife = 3 * time.Second // demand that was not renewed for so long is forgotten
+	recordLife = 3 * time.Second // a record that was not renewed for so long is forgotten
+	mostTold   = 128             // backend servers in one record, the busiest: 640 bytes
 )
 
 // Contact is a host that is registered, live or not.
@@ -36,15 +37,20 @@
 	Full    bool   // with whole heartbeats: the recipient may not know all hosts
 }
 
-// Record is the demand of a host or of a whole zone, in requests a second by the
-// hash of the limit's name.
+// Load is what hosts ask for and have under way.
+type Load struct {
+	Demands map[uint32]float64 // requests a second, by the number of the limit
+	Running map[uint32]int     // requests under way, by the number of the backend server
+}
+
+// Record is the load of a host or of a whole zone.
 type Record struct {
-	Scope   string // "host/" or "zone/" and the name
-	Demands map[uint32]float64
+	Load
+	Scope string // "host/" or "zone/" and the name
 }
 
-// Limit returns the number that a limit goes by between hosts.
-func Limit(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+// Number returns what a limit or a backend server goes by between hosts.
+func Number(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
 type kept struct {
 	record Record
@@ -190,13 +196,13 @@
 	return ranked[:min(dutyHosts, len(ranked))]
 }
 
-// Records returns what to tell of demand: to hosts of the own zone what each
-// host and other zone asks for, to other zones the sum of the own zone.
-func (g *Greeter) Records(now time.Duration, own map[uint32]float64, foreign bool) []Record {
+// Records returns what to tell of load: to hosts of the own zone that of this
+// host and of other zones, to other zones the sum of the own zone.
+func (g *Greeter) Records(now time.Duration, own Load, foreign bool) []Record {
 	if foreign {
-		return []Record{{Scope: scopeZone(g.zone), Demands: g.zoneSum(now, own)}}
+		return []Record{{Scope: scopeZone(g.zone), Load: busiest(g.zoneSum(now, own))}}
 	}
-	records := []Record{{Scope: scopeHost(g.self), Demands: own}}
+	records := []Record{{Scope: scopeHost(g.self), Load: busiest(own)}}
 	if !g.OnDuty(now) {
 		return records
 	}
@@ -209,34 +215,59 @@
 	return records
 }
 
-func (g *Greeter) zoneSum(now time.Duration, own map[uint32]float64) map[uint32]float64 {
-	sum := map[uint32]float64{}
-	add(sum, own)
+func (g *Greeter) zoneSum(now time.Duration, own Load) Load {
+	sum := newLoad()
+	sum.add(own)
 	for scope, k := range g.records {
 		if strings.HasPrefix(scope, hostScope) && now-k.at < recordLife {
-			add(sum, k.record.Demands)
+			sum.add(k.record.Load)
 		}
 	}
 	return sum
 }
 
-// Others returns the demand of all other hosts that were heard of lately.
-func (g *Greeter) Others(now time.Duration) map[uint32]float64 {
-	sum := map[uint32]float64{}
+// Others returns the load of all other hosts that were heard of lately.
+func (g *Greeter) Others(now time.Duration) Load {
+	sum := newLoad()
 	for scope, k := range g.records {
 		if now-k.at >= recordLife {
 			delete(g.records, scope)
 			continue
 		}
-		add(sum, k.record.Demands)
+		sum.add(k.record.Load)
 	}
 	return sum
 }
 
-func add(sum, more map[uint32]float64) {
-	for name, value := range more {
-		sum[name] += value
+func newLoad() Load { return Load{Demands: map[uint32]float64{}, Running: map[uint32]int{}} }
+
+func (l Load) add(more Load) {
+	for number, rate := range more.Demands {
+		l.Demands[number] += rate
+	}
+	for number, running := range more.Running {
+		l.Running[number] += running
+	}
+}
+
+// busiest returns a load with the backend servers that have most under way.
+func busiest(l Load) Load {
+	if len(l.Running) <= mostTold {
+		return l
+	}
+	numbers := make([]uint32, 0, len(l.Running))
+	for number := range l.Running {
+		numbers = append(numbers, number)
+	}
+	sort.Slice(numbers, func(i, j int) bool {
+		a, b := l.Running[numbers[i]], l.Running[numbers[j]]
+		return a > b || a == b && numbers[i] < numbers[j]
+	})
+	few := make(map[uint32]int, mostTold)
+	for _, number := range numbers[:mostTold] {
+		few[number] = l.Running[number]
 	}
+	return Load{Demands: l.Demands, Running: few}
 }
 
 const (
--- a/pkg/greeter/greeter_test.go
+++ b/pkg/greeter/greeter_test.go
@@ -23,7 +23,7 @@
 	name, zone string
 	tracker    *tracker.Tracker
 	greeter    *greeter.Greeter
-	demand     map[uint32]float64
+	load       greeter.Load
 	down       bool
 }
 
@@ -36,7 +36,7 @@
 			beat := tracker.Beat{ID: tracker.HostID{Name: name, Incarnation: uint64(100*z + i + 1)}, Zone: zone, Control: name}
 			t := tracker.New(beat, tracker.WithSilence(2200*time.Millisecond))
 			n.hosts[name] = &host{
-				name: name, zone: zone, tracker: t, greeter: greeter.New(name, zone, t, nil), demand: map[uint32]float64{1: 1},
+				name: name, zone: zone, tracker: t, greeter: greeter.New(name, zone, t, nil), load: greeter.Load{Demands: map[uint32]float64{1: 1}, Running: map[uint32]int{7: 2}},
 			}
 			contacts = append(contacts, greeter.Contact{Name: name, Zone: zone, Control: name})
 		}
@@ -64,7 +64,7 @@
 				to.tracker.Heard(n.now, beats...)
 			}
 			to.tracker.HeardPulses(n.now, h.tracker.Pulses(n.now))
-			to.greeter.Heard(n.now, h.name, h.zone, h.greeter.Digest(n.now), h.greeter.Records(n.now, h.demand, letter.Foreign))
+			to.greeter.Heard(n.now, h.name, h.zone, h.greeter.Digest(n.now), h.greeter.Records(n.now, h.load, letter.Foreign))
 		}
 	}
 }
@@ -75,13 +75,29 @@
 	}
 }
 
-func TestAllHostsHearOfAllOthersAndTheirDemand(t *testing.T) {
+func TestAllHostsHearOfAllOthersAndTheirLoad(t *testing.T) {
 	is := is.New(t)
 	n := newNet(6, 5)
 	n.rounds(8) // what was told before duties settled holds for three seconds
 	for _, h := range n.hosts {
 		is.Equal(len(h.tracker.Live(n.now)), 30)
-		is.Equal(h.greeter.Others(n.now)[1], 29.0)
+		is.Equal(h.greeter.Others(n.now).Demands[1], 29.0)
+		is.Equal(h.greeter.Others(n.now).Running[7], 58)
+	}
+}
+
+// A record names no more backend servers than fit into a datagram, the busiest.
+func TestRecordsNameTheBusiestBackendServers(t *testing.T) {
+	is := is.New(t)
+	n := newNet(1, 2)
+	own := greeter.Load{Running: map[uint32]int{}}
+	for number := range uint32(1000) {
+		own.Running[number] = int(number)
+	}
+	records := n.hosts["h0-0"].greeter.Records(n.now, own, false)
+	is.Equal(len(records[0].Running), 128)
+	for number := range records[0].Running {
+		is.True(number >= 1000-128)
 	}
 }
 
@@ -105,7 +121,7 @@
 	for _, h := range n.hosts {
 		if !h.down {
 			is.Equal(len(h.tracker.Live(n.now)), 11)
-			is.Equal(h.greeter.Others(n.now)[1], 10.0) // its demand does not go round for ever
+			is.Equal(h.greeter.Others(n.now).Demands[1], 10.0) // its demand does not go round for ever
 		}
 	}
 }
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -225,6 +225,30 @@
 	}
 }
 
+// Running returns the requests of this host by backend server, where there are
+// any.
+func (p *Placer) Running() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	running := map[string]int{}
+	for id, s := range p.servers {
+		if s.running > 0 {
+			running[id] = s.running
+		}
+	}
+	return running
+}
+
+// SetOthers takes in the requests that other hosts have under way, by backend
+// server.
+func (p *Placer) SetOthers(running map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, s := range p.servers {
+		s.told = running[id]
+	}
+}
+
 // Summary is what a host believes of one backend server.
 type Summary struct {
 	ID       string
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -29,6 +29,8 @@
 	list    []registrar.Registered
 	ends    []running
 	results results
+	told    map[string]int // requests by server, when hosts last told one another
+	ownTold []map[string]int
 }
 
 type server struct {
@@ -49,7 +51,7 @@
 }
 
 type results struct {
-	asked, onTime, late, refused, shed int
+	asked, onTime, late, lost, refused, shed int
 }
 
 // load is one load from the data file.
@@ -64,6 +66,10 @@
 	Warm    time.Duration
 	Goal    time.Duration
 	Seconds float64
+	Hosts   int           // in each zone; 1 when not given
+	Tell    time.Duration // hosts hear so often what was under way so long ago; 0 when never
+	Limit   time.Duration // an answer that takes longer is lost; 10 goals when not given
+	Hot     int           // this many objects get half of the requests
 	Burst   struct{ From, To, Rate float64 }
 	Slow    struct {
 		Server string
@@ -72,6 +78,7 @@
 	}
 	// Bounds on what callers get, as shares of the requests.
 	MinOnTime float64 `yaml:"min-on-time"`
+	MaxLost   float64 `yaml:"max-lost"`
 	MaxLate   float64 `yaml:"max-late"`
 }
 
@@ -86,14 +93,41 @@
 		}
 	}
 	w.list = r.Instances()
+	if w.load.Limit == 0 {
+		w.load.Limit = 10 * w.load.Goal
+	}
 	for zone := range regions {
-		p := placer.New("host-"+zone, placer.Place{Zone: zone, Region: regions[zone]}, regions)
-		p.Update(0, []placer.Service{{Name: service}}, w.list, nil)
-		w.hosts = append(w.hosts, p)
+		for i := range max(1, l.Hosts) {
+			p := placer.New(fmt.Sprint("host-", zone, i), placer.Place{Zone: zone, Region: regions[zone]}, regions)
+			p.Update(0, []placer.Service{{Name: service}}, w.list, nil)
+			w.hosts = append(w.hosts, p)
+		}
 	}
 	return w
 }
 
+// tell gives each host what the others had under way when it was last asked.
+func (w *world) tell() {
+	if w.load.Tell == 0 || w.now%w.load.Tell != 0 {
+		return
+	}
+	for i, host := range w.hosts {
+		others := map[string]int{}
+		for id, count := range w.told {
+			others[id] = count - w.ownTold[i][id]
+		}
+		host.SetOthers(others)
+	}
+	w.told, w.ownTold = map[string]int{}, nil
+	for _, host := range w.hosts {
+		own := host.Running()
+		w.ownTold = append(w.ownTold, own)
+		for id, count := range own {
+			w.told[id] += count
+		}
+	}
+}
+
 func (w *world) rate() float64 {
 	at := w.now.Seconds()
 	if w.load.Burst.Rate > 0 && at >= w.load.Burst.From && at < w.load.Burst.To {
@@ -110,6 +144,7 @@
 			s.slow = w.load.Slow.By
 		}
 		w.finish()
+		w.tell()
 		for n := w.rate() * step.Seconds(); n > 0 && w.rng.Float64() < n; n-- {
 			w.ask()
 		}
@@ -120,9 +155,12 @@
 func (w *world) ask() {
 	host := w.rng.IntN(len(w.hosts))
 	object := fmt.Sprint(w.rng.IntN(w.load.Objects))
+	if w.load.Hot > 0 && w.rng.IntN(2) == 0 {
+		object = fmt.Sprint(w.rng.IntN(w.load.Hot))
+	}
 	w.results.asked++
 	pick, verdict, _ := w.hosts[host].Choose(w.now, placer.Query{
-		Service: service, Route: "r", Object: object, Goal: w.load.Goal, Left: 10 * w.load.Goal,
+		Service: service, Route: "r", Object: object, Goal: w.load.Goal, Left: w.load.Limit,
 	})
 	if verdict != placer.Chosen {
 		w.results.refused++
@@ -172,10 +210,13 @@
 		s.running--
 		s.warm[one.object] = true
 		w.hosts[one.host].Done(w.now, one.pick, placer.Answered, w.report(s))
-		if w.now-one.arrived <= w.load.Goal {
+		switch took := w.now - one.arrived; {
+		case took <= w.load.Goal:
 			w.results.onTime++
-		} else {
+		case took <= w.load.Limit:
 			w.results.late++
+		default:
+			w.results.lost++
 		}
 		if len(s.waiting) > 0 {
 			next := s.waiting[0]
@@ -200,10 +241,11 @@
 			is := is.New(t)
 			got := newWorld(l, 1).play()
 			asked := float64(got.asked)
-			t.Logf("asked %d, on time %.3f, late %.3f, refused %.3f, shed %.3f", got.asked, float64(got.onTime)/asked,
-				float64(got.late)/asked, float64(got.refused)/asked, float64(got.shed)/asked)
+			t.Logf("asked %d, on time %.3f, late %.3f, lost %.3f, refused %.3f, shed %.3f", got.asked, float64(got.onTime)/asked,
+				float64(got.late)/asked, float64(got.lost)/asked, float64(got.refused)/asked, float64(got.shed)/asked)
 			is.True(float64(got.onTime) >= l.MinOnTime*asked)
 			is.True(float64(got.late) <= l.MaxLate*asked)
+			is.True(float64(got.lost) <= l.MaxLost*asked)
 		})
 	}
 }
--- a/pkg/placer/server.go
+++ b/pkg/placer/server.go
@@ -38,6 +38,7 @@
 	coldRate float64 // requests a second that it bears when cold, from all hosts; 0 when not known
 
 	running      int // requests of this host; never negative
+	told         int // requests of other hosts, as they told; 0 when none did
 	reported     int // requests running and waiting, by its latest report
 	reportedAt   time.Duration
 	ownAtReport  int // requests of this host when it reported
@@ -64,10 +65,12 @@
 	return math.Exp(-float64(max(age, 0)) / float64(span))
 }
 
-// load estimates the requests at the server, those of other hosts included.
+// load estimates the requests at the server, those of other hosts included: by
+// its own latest report at first, and later by what the other hosts told.
 func (s *server) load(now time.Duration) float64 {
-	others := float64(max(s.reported-s.ownAtReport, 0)) * fade(now-s.reportedAt, reportFade)
-	return others + float64(s.running)
+	told := float64(s.told)
+	reported := float64(max(s.reported-s.ownAtReport, 0))
+	return told + (reported-told)*fade(now-s.reportedAt, reportFade) + float64(s.running)
 }
 
 func (s *server) slowness(now time.Duration) float64 {
