conductor: send smaller heartbeats, in two parts

Cause: with requests under way told, hosts on duty sent about 60 KB at once. "host watches the store" shows that always the hosts at the end of the order of sending heard nothing for 1.7 s: the queue of the sender's link drops what comes last.

Change: hosts on duty tell of all other zones' requests in one record; hosts not on duty pass on heartbeats of their own zone only, as others hear of other zones from those on duty anyway; half of the heartbeats go out one tick later. Test: the rest of the zones is one record.

--- a/internal/conductor/loop.go
+++ b/internal/conductor/loop.go
@@ -54,6 +54,7 @@
 	hosts     int               // that may send requests, this one included
 	zoneHosts int               // those of them in the own zone
 	greeted   time.Duration
+	later     []greeter.Letter // heartbeats that the next tick sends
 	swept     time.Duration
 	asking    bool // another host is being asked for objects
 	written   bool // the own registration stands in the store
@@ -206,7 +207,9 @@
 	if now-l.greeted >= greetEvery-tick/2 {
 		l.greeted = now
 		l.share(now)
-		l.greet(now)
+		l.greetSome(now)
+	} else {
+		l.greetRest(now)
 	}
 	if now-l.swept >= sweepEvery {
 		l.swept = now
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -28,8 +28,36 @@
 
 // greet sends the heartbeats that are due.
 func (l *loop) greet(now time.Duration) {
+	l.later = nil
+	l.post(now, l.greeter.Letters(now))
+}
+
+// greetSome sends half of the heartbeats that are due, and the others a tick
+// later: what one host sends at once must fit into the queue of its link.
+func (l *loop) greetSome(now time.Duration) {
+	var first []greeter.Letter
+	l.later = nil
+	for i, letter := range l.greeter.Letters(now) {
+		if i%2 == 0 {
+			first = append(first, letter)
+		} else {
+			l.later = append(l.later, letter)
+		}
+	}
+	l.post(now, first)
+}
+
+// greetRest sends the heartbeats that the tick before left over.
+func (l *loop) greetRest(now time.Duration) {
+	if len(l.later) > 0 {
+		l.post(now, l.later)
+		l.later = nil
+	}
+}
+
+func (l *loop) post(now time.Duration, letters []greeter.Letter) {
 	load := l.load()
-	for _, letter := range l.greeter.Letters(now) {
+	for _, letter := range letters {
 		l.conductor.send(letter.Control, l.greeting(now, letter, load))
 	}
 }
@@ -39,12 +67,13 @@
 	if !l.watching {
 		return
 	}
-	load := l.load()
+	var near []greeter.Letter
 	for _, letter := range l.greeter.Letters(now) {
 		if !letter.Foreign {
-			l.conductor.send(letter.Control, l.greeting(now, letter, load))
+			near = append(near, letter)
 		}
 	}
+	l.post(now, near)
 }
 
 func (l *loop) greeting(now time.Duration, letter greeter.Letter, load greeter.Load) *peerv1.Greeting {
@@ -66,8 +95,8 @@
 	}
 	beats := l.tracker.Beats(now)
 	m.Sender = beats[0].ID.Incarnation
-	if letter.Foreign && !letter.Full {
-		beats = l.ownZone(beats)
+	if !letter.Full && (letter.Foreign || !l.greeter.OnDuty(now)) {
+		beats = l.ownZone(beats) // of other zones hosts hear from those on duty
 	}
 	if letter.Full {
 		m.Beats = messenger.EncodeBeats(beats)
--- a/internal/conductor/stop.go
+++ b/internal/conductor/stop.go
@@ -39,11 +39,11 @@
 
 func (m *farewell) apply(l *loop, now time.Duration) {
 	l.tracker.SetState(tracker.Gone)
-	load := l.load()
-	for _, letter := range l.greeter.Letters(now) {
-		letter.Full = true
-		l.conductor.send(letter.Control, l.greeting(now, letter, load))
+	letters := l.greeter.Letters(now)
+	for i := range letters {
+		letters[i].Full = true
 	}
+	l.post(now, letters)
 	close(m.done)
 }
 
--- a/pkg/greeter/greeter.go
+++ b/pkg/greeter/greeter.go
@@ -46,7 +46,7 @@
 // Record is the load of a host or of a whole zone.
 type Record struct {
 	Load
-	Scope string // "host/" or "zone/" and the name
+	Scope string // "host/" or "zone/" and the name, or "rest"
 }
 
 // Number returns what a limit or a backend server goes by between hosts.
@@ -197,7 +197,8 @@
 }
 
 // Records returns what to tell of load: to hosts of the own zone that of this
-// host and of other zones, to other zones the sum of the own zone.
+// host and, when it greets other zones, what each of them asks for and all of
+// them together have under way; to other zones the sum of the own zone.
 func (g *Greeter) Records(now time.Duration, own Load, foreign bool) []Record {
 	if foreign {
 		return []Record{{Scope: scopeZone(g.zone), Load: busiest(g.zoneSum(now, own))}}
@@ -206,13 +207,15 @@
 	if !g.OnDuty(now) {
 		return records
 	}
+	rest := newLoad()
 	for scope, k := range g.records {
 		if strings.HasPrefix(scope, zoneScope) && k.direct && now-k.at < recordLife {
-			records = append(records, k.record)
+			records = append(records, Record{Scope: scope, Load: Load{Demands: k.record.Demands}})
+			rest.add(Load{Running: k.record.Running})
 		}
 	}
 	sort.Slice(records, func(i, j int) bool { return records[i].Scope < records[j].Scope })
-	return records
+	return append(records, Record{Scope: restScope, Load: busiest(rest)})
 }
 
 func (g *Greeter) zoneSum(now time.Duration, own Load) Load {
@@ -228,13 +231,21 @@
 
 // Others returns the load of all other hosts that were heard of lately.
 func (g *Greeter) Others(now time.Duration) Load {
-	sum := newLoad()
+	sum, rest := newLoad(), Load{}
+	direct := false
 	for scope, k := range g.records {
-		if now-k.at >= recordLife {
+		switch {
+		case now-k.at >= recordLife:
 			delete(g.records, scope)
-			continue
+		case scope == restScope:
+			rest = k.record.Load
+		default:
+			direct = direct || strings.HasPrefix(scope, zoneScope) && k.direct
+			sum.add(k.record.Load)
 		}
-		sum.add(k.record.Load)
+	}
+	if !direct {
+		sum.add(rest)
 	}
 	return sum
 }
@@ -273,11 +284,12 @@
 const (
 	hostScope = "host/"
 	zoneScope = "zone/"
+	restScope = "rest" // all other zones, of hosts that do not hear of them directly
 )
 
-// ValidScope reports whether a record's scope names a host or a zone.
+// ValidScope reports whether a record's scope names a host, a zone or the rest.
 func ValidScope(scope string) bool {
-	return strings.HasPrefix(scope, hostScope) || strings.HasPrefix(scope, zoneScope)
+	return strings.HasPrefix(scope, hostScope) || strings.HasPrefix(scope, zoneScope) || scope == restScope
 }
 
 func scopeHost(name string) string { return hostScope + name }
--- a/pkg/greeter/greeter_test.go
+++ b/pkg/greeter/greeter_test.go
@@ -101,6 +101,27 @@
 	}
 }
 
+// What a host on duty tells its zone does not grow with the number of zones and
+// of backend servers together.
+func TestRestOfTheZonesIsOneRecord(t *testing.T) {
+	is := is.New(t)
+	n := newNet(8, 3)
+	for _, h := range n.hosts {
+		for number := range uint32(100) {
+			h.load.Running[number] = 1
+		}
+	}
+	n.rounds(8)
+	for _, h := range n.hosts {
+		told := 0
+		for _, r := range h.greeter.Records(n.now, h.load, false) {
+			told += len(r.Running)
+		}
+		is.True(told <= 200)
+		is.Equal(h.greeter.Others(n.now).Running[50], 23)
+	}
+}
+
 // Letters to other zones come from two hosts of a zone only.
 func TestLettersGrowWithZonesNotHosts(t *testing.T) {
 	is := is.New(t)
