follower: renew the watches of all kinds when one breaks off

The store dropped its history at 8 s and left watches waiting. Each of a host's four watches finds that out by itself when its wait of 3 to 9 s ends, and only two of six watching hosts reached the store, four being cut off. A trial with lines for each watch shows it; the watch of the configuration that ended first had waited 5 s.

Change: a watch that breaks off makes the host's other kinds list again: four draws for each host instead of one. The test has a kind whose watch would last 12 s or longer. A line says that a watch broke off.

What is left: a watch that has lost the store counts as serving its zone.

--- a/internal/conductor/loop.go
+++ b/internal/conductor/loop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -87,6 +89,7 @@
 		l.tables[kind] = newTable(kind)
 		l.followers[kind] = follower.New(c.platform, kind, l.tell)
 	}
+	follower.Join(slices.Collect(maps.Values(l.followers))...)
 	l.followers[kinds.Hosts].SetHosts(manyHosts)
 	return l
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"magnoliahill.example/magnoliahill/internal/clocker"
 	"magnoliahill.example/magnoliahill/internal/keeper"
@@ -46,6 +47,7 @@
 	tell   func(News)
 	nudge  chan struct{} // buffered; ends a watch that is behind
 	wait   atomic.Int64  // nanoseconds that a watch lasts
+	others []*Follower   // of other kinds of the same store
 }
 
 // New returns a follower that tells its news to a function, in order.
@@ -55,6 +57,19 @@
 	return f
 }
 
+// Join makes each follower list again when the watch of another breaks off. A
+// store that drops its history leaves watches of all kinds waiting that will
+// never hear anything, and the first that ends finds out for all.
+func Join(all ...*Follower) {
+	for _, f := range all {
+		for _, other := range all {
+			if other != f {
+				f.others = append(f.others, other)
+			}
+		}
+	}
+}
+
 // SetHosts sets how long watches last, by how many hosts tell one another of
 // changes. A store that drops its history may leave a watch waiting that will
 // never hear anything; the host whose watch ends first finds out for all.
@@ -103,6 +118,7 @@
 	for ctx.Err() == nil {
 		table, err := f.watchOnce(ctx, revision)
 		if err != nil {
+			f.broke(ctx, revision, err)
 			return
 		}
 		revision = max(revision, table.Revision())
@@ -114,6 +130,17 @@
 	}
 }
 
+// broke tells the other followers that the store may have dropped its history.
+func (f *Follower) broke(ctx context.Context, revision int64, err error) {
+	if ctx.Err() != nil || errors.Is(err, errNudged) {
+		return
+	}
+	klog.InfoS("watch broke off", "kind", f.kind, "revision", revision, "cause", err.Error())
+	for _, other := range f.others {
+		other.Nudge()
+	}
+}
+
 var errNudged = errors.New("watch was behind")
 
 func (f *Follower) watchOnce(ctx context.Context, revision int64) (keeper.Table, error) {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -187,3 +187,30 @@
 		is.Equal(revision, int64(2))
 	})
 }
+
+// The kinds of a store go deaf together: the watch that ends first finds out for
+// all of them.
+func TestWatchThatBreaksOffWakesOtherKinds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, short, long := newSource(), &teller{}, &teller{}
+		first, second := follower.New(s, "short", short.tell), follower.New(s, "long", long.tell)
+		follower.Join(first, second)
+		second.SetHosts(1000) // waits for 12.5 s or longer
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		for _, f := range []*follower.Follower{first, second} {
+			done.Go(func() { f.Run(ctx) })
+		}
+		synctest.Wait()
+		s.set(func() { s.deaf = true })
+		s.change()
+		s.set(func() { s.deaf = false })
+		time.Sleep(4600 * time.Millisecond) // the first kind's watch has been renewed
+		revision, lost := long.seen()
+		is.Equal(revision, int64(2))
+		is.Equal(lost, 0)
+		cancel()
+		done.Wait()
+	})
+}
