placer: let regions' shares follow the demand of all hosts

Requests by service and regions (20 to 29 s) show huye's 27 backend servers with 11.3 requests for 9 slots, those of kigali and musanze with 4.1 to 5.8; and of those that kigali's and musanze's callers must run in huye (homes of a workspace) 40 to 61 in 100 end by their time limit. The placer took all regions to ask for the same and knew nothing of requests that are bound to a region.

Ruled out: spilling by load, which does no more than 10 in 100 there, since each object that moves costs a cold run first.

Change: heartbeats tell what a zone's hosts have under way of each service: how many may run anywhere, how many are bound to which region. Where requests wait in one region while another has room, the share of objects served nearby and the regions' parts of the others move towards equal use, by no more than half of the cap on shifts within two seconds (setting ShiftCap, unused until now).

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -104,7 +104,7 @@
 	hybrid := clocker.NewHybrid(func() int64 { return time.Now().UnixNano() })
 	c.recorder = recorder.New(recorder.NewTimeLine(settings.Host, hybrid))
 	c.placer = placer.New(settings.Host, placer.Place{Zone: settings.Zone, Region: settings.Region},
-		settings.Regions, placer.WithColdBound(settings.ColdFactor, settings.ColdSlack))
+		settings.Regions, placer.WithColdBound(settings.ColdFactor, settings.ColdSlack), placer.WithShiftCap(settings.ShiftCap))
 	c.divider = divider.New(settings.Expected, settings.RateOverage*overageUsed)
 	c.lender = lender.New(settings.Host, c.divider, c.messenger)
 	words := platform.Words()
--- a/internal/conductor/loop.go
+++ b/internal/conductor/loop.go
@@ -237,6 +237,7 @@
 		Hosts: l.hosts, Zone: l.zoneHosts, Heard: len(live), Demand: l.others(told),
 	})
 	l.conductor.placer.SetOthers(l.underWay(told))
+	l.conductor.placer.SetDemand(now, l.demand(now))
 	l.conductor.lender.SetHosts(l.lenders(live))
 	l.conductor.steer(live)
 }
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -124,9 +124,53 @@
 	for id, count := range running {
 		load.Running[greeter.Number(id)] = count
 	}
+	load.Origins = origins(l.conductor.placer.Demand())
 	return load
 }
 
+// origins puts the numbers that hosts use between them for names.
+func origins(demand map[string]placer.Demand) map[uint32]greeter.Origin {
+	all := make(map[uint32]greeter.Origin, len(demand))
+	for service, one := range demand {
+		origin := greeter.Origin{Free: one.Free, Bound: make(map[uint32]int, len(one.Bound))}
+		for region, count := range one.Bound {
+			origin.Bound[greeter.Number(region)] = count
+		}
+		all[greeter.Number(service)] = origin
+	}
+	return all
+}
+
+// demand returns what all hosts have under way, by service and by the region of
+// the hosts.
+func (l *loop) demand(now time.Duration) map[string]map[string]placer.Demand {
+	if l.catalog == nil {
+		return nil
+	}
+	zones := l.greeter.Zones(now, l.load())
+	all := map[string]map[string]placer.Demand{}
+	for _, service := range l.catalog.Services() {
+		byRegion := map[string]placer.Demand{}
+		for zone, origins := range zones {
+			region := l.conductor.settings.Regions[zone]
+			byRegion[region] = byRegion[region].Add(l.bound(origins[greeter.Number(service.Name())]))
+		}
+		all[service.Name()] = byRegion
+	}
+	return all
+}
+
+// bound puts names for the numbers that hosts use between them.
+func (l *loop) bound(origin greeter.Origin) placer.Demand {
+	one := placer.Demand{Free: origin.Free, Bound: map[string]int{}}
+	for _, region := range l.conductor.settings.Regions {
+		if count := origin.Bound[greeter.Number(region)]; count > 0 {
+			one.Bound[region] = count
+		}
+	}
+	return one
+}
+
 // evidence returns what the host's tries said of backend servers.
 func (l *loop) evidence(now time.Duration) greeter.Evidence {
 	all := greeter.Evidence{}
--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -211,11 +211,37 @@
 			one.Servers = append(one.Servers, server)
 			one.Running = append(one.Running, uint32(running))
 		}
+		for service, origin := range r.Origins {
+			one.Origins = append(one.Origins, encodeOrigin(service, origin))
+		}
 		wire = append(wire, one)
 	}
 	return wire
 }
 
+func encodeOrigin(service uint32, origin greeter.Origin) *peerv1.Origin {
+	wire := &peerv1.Origin{Service: service, Free: uint32(origin.Free)}
+	for region, bound := range origin.Bound {
+		wire.Regions = append(wire.Regions, region)
+		wire.Bound = append(wire.Bound, uint32(bound))
+	}
+	return wire
+}
+
+func decodeOrigins(wire []*peerv1.Origin) map[uint32]greeter.Origin {
+	origins := make(map[uint32]greeter.Origin, len(wire))
+	for _, w := range wire {
+		origin := greeter.Origin{Free: int(w.GetFree()), Bound: make(map[uint32]int, len(w.GetRegions()))}
+		for i, region := range w.GetRegions() {
+			if i < len(w.GetBound()) {
+				origin.Bound[region] = int(w.GetBound()[i])
+			}
+		}
+		origins[w.GetService()] = origin
+	}
+	return origins
+}
+
 // DecodeRecords maps records of load from the wire. One of an unknown scope is
 // dropped.
 func DecodeRecords(wire []*peerv1.LoadRecord) []greeter.Record {
@@ -234,7 +260,7 @@
 				running[server] = int(w.GetRunning()[i])
 			}
 		}
-		load := greeter.Load{Demands: demands, Running: running}
+		load := greeter.Load{Demands: demands, Running: running, Origins: decodeOrigins(w.GetOrigins())}
 		records = append(records, greeter.Record{Scope: w.GetScope(), Load: load})
 	}
 	return records
--- a/pkg/greeter/greeter.go
+++ b/pkg/greeter/greeter.go
@@ -42,6 +42,13 @@
 type Load struct {
 	Demands map[uint32]float64 // requests a second, by the number of the limit
 	Running map[uint32]int     // requests under way, by the number of the backend server
+	Origins map[uint32]Origin  // requests under way, by the number of the service
+}
+
+// Origin is the requests under way for a service, by where they may run.
+type Origin struct {
+	Free  int            // those that may run in any region
+	Bound map[uint32]int // those that may not, by the number of the region they run in
 }
 
 // Record is the load of a host or of a whole zone.
@@ -217,7 +224,7 @@
 	rest := newLoad()
 	for scope, k := range g.records {
 		if strings.HasPrefix(scope, zoneScope) && k.direct && now-k.at < recordLife {
-			records = append(records, Record{Scope: scope, Load: Load{Demands: k.record.Demands}})
+			records = append(records, Record{Scope: scope, Load: Load{Demands: k.record.Demands, Origins: k.record.Origins}})
 			rest.add(Load{Running: k.record.Running})
 		}
 	}
@@ -257,7 +264,21 @@
 	return sum
 }
 
-func newLoad() Load { return Load{Demands: map[uint32]float64{}, Running: map[uint32]int{}} }
+// Zones returns where the requests of each availability zone run, as far as it
+// was heard of lately.
+func (g *Greeter) Zones(now time.Duration, own Load) map[string]map[uint32]Origin {
+	zones := map[string]map[uint32]Origin{g.zone: g.zoneSum(now, own).Origins}
+	for scope, k := range g.records {
+		if zone, ok := strings.CutPrefix(scope, zoneScope); ok && now-k.at < recordLife {
+			zones[zone] = k.record.Origins
+		}
+	}
+	return zones
+}
+
+func newLoad() Load {
+	return Load{Demands: map[uint32]float64{}, Running: map[uint32]int{}, Origins: map[uint32]Origin{}}
+}
 
 func (l Load) add(more Load) {
 	for number, rate := range more.Demands {
@@ -266,6 +287,19 @@
 	for number, running := range more.Running {
 		l.Running[number] += running
 	}
+	for number, origin := range more.Origins {
+		l.Origins[number] = l.Origins[number].add(origin)
+	}
+}
+
+func (o Origin) add(more Origin) Origin {
+	sum := Origin{Free: o.Free + more.Free, Bound: map[uint32]int{}}
+	for _, one := range []Origin{o, more} {
+		for region, count := range one.Bound {
+			sum.Bound[region] += count
+		}
+	}
+	return sum
 }
 
 // busiest returns a load with the backend servers that have most under way.
@@ -285,7 +319,7 @@
 	for _, number := range numbers[:mostTold] {
 		few[number] = l.Running[number]
 	}
-	return Load{Demands: l.Demands, Running: few}
+	return Load{Demands: l.Demands, Running: few, Origins: l.Origins}
 }
 
 const (
--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -29,6 +29,7 @@
 	run    time.Duration // expected time at work
 	wait   time.Duration // expected wait before it
 	seen   bool          // this host saw the server handle the object lately
+	bound  bool          // it may run in certain regions only
 	rank   int           // place in the object's order; 0 is first
 	load   float64       // requests there when it was chosen
 }
@@ -121,7 +122,7 @@
 	} else {
 		o := c.pool.order(key)
 		first, second := o.all, o.near
-		if o.home {
+		if o.draw < c.pool.flow.nearby {
 			first, second = o.near, o.all
 		}
 		list = c.among(key, first, nearest)
@@ -230,6 +231,7 @@
 	pick := Pick{
 		server: s, number: c.placer.picks, id: s.ID(), at: s.Address(), region: s.region, object: key, times: c.times, seen: s.warm(c.now, key),
 		began: c.now, run: found.run, wait: found.wait, rank: found.rank, load: load,
+		bound: c.query.Homes != nil,
 	}
 	s.open = append(s.open, openTry{pick: pick, due: overdueFrom})
 	return pick
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -74,6 +74,7 @@
 	guard    guard
 	evacuate map[string]bool // availability zones that get nothing
 	picks    uint64          // made so far
+	shiftCap float64         // share of a region's requests that may change their region within two seconds
 }
 
 // Option sets one property of a placer.
@@ -85,6 +86,12 @@
 	return func(p *Placer) { p.guard.factor, p.guard.slack = factor, slack }
 }
 
+// WithShiftCap sets what share of a region's requests may change the region they
+// run in within two seconds.
+func WithShiftCap(share float64) Option {
+	return func(p *Placer) { p.shiftCap = share }
+}
+
 // New returns a placer of a host that knows no backend servers.
 func New(self string, place Place, regions map[string]string, options ...Option) *Placer {
 	p := &Placer{
@@ -94,6 +101,7 @@
 		times:    map[string]*times{},
 		evacuate: map[string]bool{},
 		guard:    guard{factor: 1},
+		shiftCap: 1,
 	}
 	for _, option := range options {
 		option(p)
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -74,9 +74,13 @@
 	// Hosts hear what the tries of others said, as often as they tell.
 	Evidence bool
 	Limit    time.Duration // an answer that takes longer is lost; 10 goals when not given
-	Hot      int           // this many objects get half of the requests
-	Burst    struct{ From, To, Rate float64 }
-	Slow     struct {
+	// Share of the requests that come from a region; even when not given.
+	From map[string]float64
+	// Hosts hear of the demand of all regions, as often as they tell.
+	Demand bool
+	Hot    int // this many objects get half of the requests
+	Burst  struct{ From, To, Rate float64 }
+	Slow   struct {
 		Server string
 		By     float64
 		From   float64
@@ -131,6 +135,7 @@
 			}
 		}
 	}
+	w.tellDemand()
 	w.told, w.ownTold = map[string]int{}, nil
 	for _, host := range w.hosts {
 		own := host.Running()
@@ -163,6 +168,34 @@
 	return w.results
 }
 
+// tellDemand gives all hosts what each region's hosts have under way.
+func (w *world) tellDemand() {
+	if !w.load.Demand {
+		return
+	}
+	demand := map[string]placer.Demand{}
+	for i, host := range w.hosts {
+		demand[w.region(i)] = demand[w.region(i)].Add(host.Demand()[service])
+	}
+	for _, host := range w.hosts {
+		host.SetDemand(w.now, map[string]map[string]placer.Demand{service: demand})
+	}
+}
+
+func (w *world) region(host int) string {
+	zones := slices.Sorted(maps.Keys(regions))
+	return regions[zones[host/max(1, w.load.Hosts)]]
+}
+
+// from draws the host that a request comes to.
+func (w *world) from() int {
+	host := w.rng.IntN(len(w.hosts))
+	for w.load.From != nil && w.rng.Float64() >= w.load.From[w.region(host)] {
+		host = w.rng.IntN(len(w.hosts))
+	}
+	return host
+}
+
 // slowDown makes the servers slow whose ids begin so.
 func (w *world) slowDown() {
 	if w.load.Slow.Server == "" || w.now.Seconds() < w.load.Slow.From {
@@ -176,7 +209,7 @@
 }
 
 func (w *world) ask() {
-	host := w.rng.IntN(len(w.hosts))
+	host := w.from()
 	object := fmt.Sprint(w.rng.IntN(w.load.Objects))
 	if w.load.Hot > 0 && w.rng.IntN(2) == 0 {
 		object = fmt.Sprint(w.rng.IntN(w.load.Hot))
@@ -289,6 +322,58 @@
 	return placer.Query{Service: service, Route: "r", Object: object, Goal: 400 * time.Millisecond, Left: 3 * time.Second}
 }
 
+// When demand turns, no more objects change their region within two seconds than
+// the cap allows, and they do change in the end.
+func TestSharesFollowDemandSlowly(t *testing.T) {
+	is := is.New(t)
+	p := placer.New("h", placer.Place{Zone: "a1", Region: "a"}, regions, placer.WithShiftCap(0.15))
+	var all []registrar.Instance
+	others := map[string]int{}
+	for zone, region := range regions {
+		for i := range 4 {
+			id := fmt.Sprint(zone, "-", i)
+			all = append(all, instance(id, zone))
+			others[id] = 1
+			if region == "a" {
+				others[id] = 12 // of 8 slots
+			}
+		}
+	}
+	update(p, 0, 0, nil, all...)
+	place := func(now time.Duration) map[string]string {
+		where := map[string]string{}
+		for i := range 400 {
+			pick, _, _ := p.Choose(now, placer.Query{Service: service, Route: "r", Object: fmt.Sprint(i), Goal: 100 * time.Second, Left: 1000 * time.Second})
+			p.Done(now, pick, placer.Canceled, placer.Load{})
+			where[fmt.Sprint(i)] = pick.Region()
+		}
+		return where
+	}
+	demand := map[string]placer.Demand{"a": {Free: 96}, "b": {Free: 8}, "c": {Free: 8}}
+	first := place(0)
+	before := first
+	for now := 500 * time.Millisecond; now < 30*time.Second; now += 500 * time.Millisecond {
+		p.SetOthers(others)
+		p.SetDemand(now, map[string]map[string]placer.Demand{service: demand})
+		if now%(2*time.Second) == 0 {
+			after := place(now)
+			is.True(changed(before, after) <= 0.15*400)
+			before = after
+		}
+	}
+	is.True(changed(first, before) > 0.4*400)
+}
+
+func changed(before, after map[string]string) float64 {
+	n := 0.0
+	for object, region := range after {
+		if before[object] != region {
+			n++
+		}
+	}
+	return n
+}
+
 // A try that takes too long tells of its server before it ends, and once only
 // for each doubling of its time.
 func TestOverdueTriesTell(t *testing.T) {
--- a/pkg/placer/pool.go
+++ b/pkg/placer/pool.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"maps"
 	"math"
 	"sort"
 )
@@ -17,8 +18,8 @@
 	servers []*server // by id
 	slots   int
 	room    map[string]int     // slots by region
-	nearby  float64            // share of objects that are served in the host's region first
-	spare   map[string]float64 // weight of each region for the other objects
+	flow    *flow              // as it is to become
+	parts   map[string]float64 // of each region of the objects that are not served nearby, as the orders have it
 	orders  map[objectKey]*order
 }
 
@@ -26,13 +27,13 @@
 type order struct {
 	all  []*server // weighted by the room that regions can spare
 	near []*server // those in the host's region, first of them only
-	home bool      // near goes before all
+	draw float64   // near goes before all when this is less than the share served nearby
 }
 
 func newPool(place Place, regions map[string]string) *pool {
 	return &pool{
 		place: place, regions: regions,
-		room: map[string]int{}, spare: map[string]float64{}, orders: map[objectKey]*order{},
+		room: map[string]int{}, flow: newFlow(), parts: map[string]float64{}, orders: map[objectKey]*order{},
 	}
 }
 
@@ -42,32 +43,52 @@
 	p.room[s.region] += s.Slots()
 }
 
-// finish divides the demand, taken to be the same in all regions, among the
-// regions' slots: each region serves what it can of its own, and the rest goes
-// to where room is left.
+// finish divides the demand, taken to be the same in all regions until more is
+// known, among the regions' slots: each region serves what it can of its own,
+// and the rest goes to where room is left.
 func (p *pool) finish() {
 	sort.Slice(p.servers, func(i, j int) bool { return p.servers[i].ID() < p.servers[j].ID() })
 	if p.slots == 0 {
 		return
 	}
-	regions := map[string]bool{}
-	for _, region := range p.regions {
-		regions[region] = true
-	}
+	regions := p.allRegions()
 	even := 1 / float64(len(regions))
+	sum := 0.0
 	for region := range regions {
 		share := float64(p.room[region]) / float64(p.slots)
-		p.spare[region] = max(0, share-even) / max(share, leastShare)
+		p.flow.parts[region] = max(0, share-even)
+		sum += p.flow.parts[region]
 		if region == p.place.Region {
-			p.nearby = min(1, share/even)
+			p.flow.nearby = min(1, share/even)
 		}
 	}
+	for region := range regions {
+		p.flow.parts[region] /= max(sum, leastShare)
+	}
+	p.setParts(p.flow.parts)
 }
 
 const leastShare = 1e-6 // keeps a region without slots from dividing by 0
 
-// inherit takes over the orders of an earlier pool with the same servers.
+func (p *pool) allRegions() map[string]bool {
+	regions := map[string]bool{}
+	for _, region := range p.regions {
+		regions[region] = true
+	}
+	return regions
+}
+
+func (p *pool) setParts(parts map[string]float64) { p.parts = maps.Clone(parts) }
+
+// inherit takes over the shares of an earlier pool whose slots are where they
+// were, and its orders when it has the same servers.
 func (p *pool) inherit(old *pool) {
+	if maps.Equal(p.room, old.room) {
+		p.flow = old.flow
+		p.setParts(old.parts)
+	} else {
+		p.flow.free, p.flow.bound, p.flow.used, p.flow.at = old.flow.free, old.flow.bound, old.flow.used, old.flow.at
+	}
 	if len(p.servers) != len(old.servers) {
 		return
 	}
@@ -93,7 +114,7 @@
 			made.near = append(made.near, s)
 		}
 	}
-	made.home = unit(hash("home", key.route, key.object)) < p.nearby
+	made.draw = unit(hash("home", key.route, key.object))
 	p.orders[key] = made
 	return made
 }
@@ -111,12 +132,12 @@
 	list := make([]scored, 0, len(p.servers))
 	for _, s := range p.servers {
 		u := unit(hash(key.route, key.object, s.ID()))
-		spare := p.spare[s.region]
+		part := p.parts[s.region]
 		weight := float64(s.Slots())
-		if spare > 0 {
-			weight *= spare
+		if part > 0 {
+			weight *= part / float64(p.room[s.region])
 		}
-		list = append(list, scored{s, spare > 0, -weight / math.Log(u)})
+		list = append(list, scored{s, part > 0, -weight / math.Log(u)})
 	}
 	sort.Slice(list, func(i, j int) bool {
 		if list[i].spared != list[j].spared {
