conductor: name all hosts of a large region to callers

Cause, found in reading: an answer to a look-up names 64 hosts at most, and the first 64 by address were taken.

Change: the hosts of a region are split into as many lists as it takes, of about equal length, and each look-up gets one of them at random.

--- a/internal/conductor/lookups.go
+++ b/internal/conductor/lookups.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"time"
@@ -15,10 +16,11 @@
 	maxLookupHosts = 64              // an answer names no more
 )
 
-// lookups holds the answers to look-ups, made ahead for each region.
+// lookups holds the answers to look-ups, made ahead for each region. A region of
+// many hosts has several that are given in turn.
 type lookups struct {
-	regions map[string][]byte
-	other   []byte // for regions that have no host
+	regions map[string][][]byte
+	other   [][]byte // for regions that have no host
 }
 
 // steer makes the answers: callers get the hosts of their own region, so that
@@ -34,28 +36,37 @@
 		byRegion[region] = append(byRegion[region], host.Data)
 		all = append(all, host.Data)
 	}
-	next := &lookups{regions: map[string][]byte{}}
-	next.other = c.encodeLookup(all)
+	next := &lookups{regions: map[string][][]byte{}}
+	next.other = c.encodeLookups(all)
 	for region, addresses := range byRegion {
-		next.regions[region] = c.encodeLookup(addresses)
+		next.regions[region] = c.encodeLookups(addresses)
 	}
 	c.lookups.Store(next)
 }
 
-func (c *Conductor) encodeLookup(addresses []string) []byte {
-	if len(addresses) == 0 {
-		return nil
+func (c *Conductor) encodeLookups(addresses []string) [][]byte {
+	var answers [][]byte
+	for _, named := range split(addresses) {
+		data, err := c.platform.EncodeLookup(named, min(lookupTTL, c.settings.MaxLookupTTL))
+		if err != nil {
+			klog.ErrorS(err, "look-up answer could not be made")
+			continue
+		}
+		answers = append(answers, data)
 	}
+	return answers
+}
+
+// split returns the addresses in lists that an answer can hold, about equally
+// long, so that all hosts are named equally often.
+func split(addresses []string) [][]string {
 	sort.Strings(addresses)
-	if len(addresses) > maxLookupHosts {
-		addresses = addresses[:maxLookupHosts]
-	}
-	data, err := c.platform.EncodeLookup(addresses, min(lookupTTL, c.settings.MaxLookupTTL))
-	if err != nil {
-		klog.ErrorS(err, "look-up answer could not be made")
-		return nil
+	count := (len(addresses) + maxLookupHosts - 1) / maxLookupHosts
+	lists := make([][]string, count)
+	for i, address := range addresses {
+		lists[i%count] = append(lists[i%count], address)
 	}
-	return data
+	return lists
 }
 
 func (c *Conductor) serveLookup(w http.ResponseWriter, r *http.Request) {
@@ -68,14 +79,14 @@
 	if region == "" {
 		region = c.settings.Regions[zone]
 	}
-	answer := table.regions[region]
-	if answer == nil {
-		answer = table.other
+	answers := table.regions[region]
+	if len(answers) == 0 {
+		answers = table.other
 	}
-	if answer == nil {
+	if len(answers) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(answer) // the caller is gone if this fails
+	_, _ = w.Write(answers[rand.IntN(len(answers))]) // the caller is gone if this fails
 }
