conductor: replace a zone's watcher that the store does not answer

Change: heartbeats say that the sender watches a store which does not answer it; the next host of the zone then watches, and no further one when it gets no answer either, so that an outage of the store costs at most twice the calls. The test has a zone whose hosts are turned away one after the other.

--- a/internal/conductor/loop.go
+++ b/internal/conductor/loop.go
@@ -113,6 +113,7 @@
 // duty watches the store when this host is among those that do so for the zone,
 // or when none of them is heard of. The others learn from these.
 func (l *loop) duty(now time.Duration) {
+	l.greeter.SetBlind(l.conductor.settings.Host, l.blind())
 	due := l.greeter.Watches(now) || now-l.servedAt >= unserved
 	switch {
 	case due && !l.watching:
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -83,6 +83,7 @@
 		Digest:    l.greeter.Digest(now),
 		Watching:  l.watching,
 		StoreLost: l.outage(now),
+		Blind:     l.blind(),
 		Records:   messenger.EncodeRecords(l.greeter.Records(now, load, letter.Foreign)),
 		Evidence:  messenger.EncodeEvidence(l.greeter.Evidence(letter)),
 	}
@@ -280,6 +281,7 @@
 		return // it learns by the digest that this host needs whole heartbeats
 	}
 	l.greeter.Heard(now, host.ID.Name, host.Zone, m.GetDigest(), messenger.DecodeRecords(m.GetRecords()))
+	l.greeter.SetBlind(host.ID.Name, m.GetBlind())
 	l.learnEvidence(now, host.Zone, messenger.DecodeEvidence(m.GetEvidence()))
 	for i, revision := range m.GetPositions() {
 		if i < len(l.order) {
@@ -312,6 +314,16 @@
 	return true
 }
 
+// blind reports whether this host watches the store without an answer.
+func (l *loop) blind() bool {
+	for _, t := range l.tables {
+		if l.watching && t.lost {
+			return true
+		}
+	}
+	return false
+}
+
 // served takes in that another host of the zone watches the store.
 func (l *loop) served(now time.Duration, lost bool) {
 	l.servedAt = now
--- a/pkg/greeter/evidence.go
+++ b/pkg/greeter/evidence.go
@@ -27,7 +27,7 @@
 func (g *Greeter) Round(now time.Duration, own Evidence) {
 	near, far := Evidence{}, Evidence{}
 	near.add(own)
-	if g.Watches(now) {
+	if g.among(now, 1) {
 		near.add(g.rounds.rest)
 		far.add(own)
 		far.add(g.rounds.zone)
--- a/pkg/greeter/greeter.go
+++ b/pkg/greeter/greeter.go
@@ -17,6 +17,7 @@
 const (
 	dutyName   = "greet"
 	dutyHosts  = 2               // of each zone that greet other zones: one may fail
+	watchHosts = 2               // of each zone that may watch the store: one may be turned away alone
 	recordLife = 3 * time.Second // a record that was not renewed for so long is forgotten
 	mostTold   = 128             // backend servers in one record, the busiest: 640 bytes
 )
@@ -76,6 +77,7 @@
 	digests  map[string]uint32 // of the hosts that others know, by name
 	records  map[string]kept
 	rounds   rounds
+	blind    map[string]bool // hosts that the store does not answer
 }
 
 // New returns a greeter of a host that knows no others.
@@ -86,6 +88,7 @@
 		digests:  map[string]uint32{},
 		records:  map[string]kept{},
 		rounds:   newRounds(),
+		blind:    map[string]bool{},
 	}
 }
 
@@ -177,17 +180,39 @@
 // OnDuty reports whether this host greets other zones.
 func (g *Greeter) OnDuty(now time.Duration) bool { return g.among(now, dutyHosts) }
 
-// Watches reports whether this host watches the store for its zone.
-func (g *Greeter) Watches(now time.Duration) bool { return g.among(now, 1) }
+// Watches reports whether this host watches the store for its zone: the first of
+// a few that the store answers.
+func (g *Greeter) Watches(now time.Duration) bool {
+	ranked := tracker.Rank(dutyName, g.ownZone(now))
+	for _, host := range ranked[:min(watchHosts, len(ranked))] {
+		if !g.blind[host.ID.Name] {
+			return host.ID.Name == g.self
+		}
+	}
+	return g.among(now, 1)
+}
+
+// SetBlind takes in whether a host watches a store that does not answer it.
+func (g *Greeter) SetBlind(name string, blind bool) {
+	if blind {
+		g.blind[name] = true
+	} else {
+		delete(g.blind, name)
+	}
+}
 
 func (g *Greeter) among(now time.Duration, n int) bool {
+	return tracker.Holds(dutyName, g.ownZone(now), g.self, n)
+}
+
+func (g *Greeter) ownZone(now time.Duration) []tracker.Host {
 	var own []tracker.Host
 	for _, host := range g.tracker.Live(now) {
 		if host.Zone == g.zone {
 			own = append(own, host)
 		}
 	}
-	return tracker.Holds(dutyName, own, g.self, n)
+	return own
 }
 
 // drawn returns the hosts on duty of another zone: from the live ones, or from
--- a/pkg/greeter/greeter_test.go
+++ b/pkg/greeter/greeter_test.go
@@ -131,6 +131,38 @@
 	}
 }
 
+// A zone whose watching host is turned away by the store has another one watch;
+// when all are, no more than two do.
+func TestHostThatTheStoreDoesNotAnswerIsReplaced(t *testing.T) {
+	is := is.New(t)
+	n := newNet(2, 5)
+	n.rounds(6)
+	watching := func() []string {
+		var names []string
+		for name, h := range n.hosts {
+			if h.zone == "z0" && h.greeter.Watches(n.now) {
+				names = append(names, name)
+			}
+		}
+		return names
+	}
+	blind := func(name string, yes bool) {
+		for _, h := range n.hosts {
+			h.greeter.SetBlind(name, yes)
+		}
+	}
+	first := watching()
+	is.Equal(len(first), 1)
+	blind(first[0], true)
+	second := watching()
+	is.Equal(len(second), 1)
+	is.True(second[0] != first[0])
+	blind(second[0], true)
+	is.Equal(watching(), first)
+	blind(first[0], false)
+	is.Equal(watching(), first)
+}
+
 // Each host hears each piece of evidence once, however it comes to it.
 func TestEvidenceReachesAllHostsOnce(t *testing.T) {
 	is := is.New(t)
