exchanger: bound all idle connections by the descriptors

Cause, found in reading: 16 idle connections are kept for each backend server whatever their number; 264 of them could hold 4,224, and a host of the grown deployments has 4,100 descriptors, which callers need as well.

Change: a quarter of the descriptors (setting Descriptors, unused until now) may hold idle connections. RetryWindow and RateSlack, which nothing acts on, are no longer read.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -64,7 +64,7 @@
 	rates.SetLimits(s.clock.Now(), []divider.Limit{{Name: "w", Rate: 1, Burst: 4}})
 	rec := recorder.New(recorder.NewTimeLine("host", clocker.NewHybrid(func() int64 { return 0 })))
 	t.Cleanup(rec.Close)
-	link := exchanger.New(words)
+	link := exchanger.New(words, 100)
 	t.Cleanup(link.Close)
 	s.carrier = carrier.New(words, dialect{}, s.clock, lender.New("host", rates, nil), s.places, link, rec,
 		carrier.WithRetries(carrier.Retries{Ratio: 0.2, Size: 10}))
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -108,7 +108,7 @@
 	c.divider = divider.New(settings.Expected, settings.RateOverage*overageUsed)
 	c.lender = lender.New(settings.Host, c.divider, c.messenger)
 	words := platform.Words()
-	c.exchanger = exchanger.New(words)
+	c.exchanger = exchanger.New(words, settings.Descriptors/idleShare)
 	c.carrier = carrier.New(words, platform, c.clock, c.lender, c.placer, c.exchanger, c.recorder,
 		carrier.WithRetries(retries(settings, settings.Expected)))
 	c.base, c.abort = context.WithCancel(context.Background())
@@ -118,6 +118,7 @@
 
 const (
 	overageUsed = 0.5 // part of the allowed overage that is handed out; the rest is for hosts that disagree
+	idleShare   = 4   // one descriptor in so many may hold an idle connection to a backend server: callers need the most
 	retriesUsed = 0.6 // part of the retry budget that is handed out
 )
 
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -75,9 +75,10 @@
 	pool  *pool
 }
 
-// New returns an exchanger without connections.
-func New(words marker.Vocabulary) *Exchanger {
-	return &Exchanger{words: words, pool: newPool()}
+// New returns an exchanger without connections, which keeps so many idle ones at
+// most.
+func New(words marker.Vocabulary, mostIdle int) *Exchanger {
+	return &Exchanger{words: words, pool: newPool(mostIdle)}
 }
 
 // Dials returns how many connections were opened so far.
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -26,11 +26,14 @@
 	dialer net.Dialer
 	mu     sync.Mutex
 	idle   map[string][]*link
+	count  int   // of all idle ones
+	most   int   // idle ones that are kept for all backend servers
 	dials  int64 // connections opened so far
 }
 
-func newPool() *pool {
+func newPool(most int) *pool {
 	return &pool{
+		most: most,
 		dialer: net.Dialer{
 			Timeout: dialTimeout,
 			Control: setUserTimeout,
@@ -80,6 +83,7 @@
 	l := list[len(list)-1]
 	list[len(list)-1] = nil
 	p.idle[key] = list[:len(list)-1]
+	p.count--
 	return l
 }
 
@@ -101,8 +105,9 @@
 	l.reused = true
 	p.mu.Lock()
 	list := p.idle[l.key]
-	if len(list) < maxIdle {
+	if len(list) < maxIdle && p.count < p.most {
 		p.idle[l.key] = append(list, l)
+		p.count++
 		l = nil
 	}
 	p.mu.Unlock()
@@ -118,6 +123,7 @@
 	for key, list := range p.idle {
 		if !wanted(key) {
 			closing = append(closing, list...)
+			p.count -= len(list)
 			delete(p.idle, key)
 		}
 	}
@@ -136,6 +142,7 @@
 		for _, l := range list {
 			if now.Sub(l.idle) > l.allowed {
 				closing = append(closing, l)
+				p.count--
 				continue
 			}
 			kept = append(kept, l)
--- a/internal/loader/deployment.go
+++ b/internal/loader/deployment.go
@@ -26,10 +26,8 @@
 	MaxLookupTTL time.Duration // longer validity of look-up answers does not count
 	RetryRatio   float64       // retries of a service as a share of its requests
 	RetryExtra   float64       // retries beyond that share in a window, over all hosts
-	RetryWindow  time.Duration
-	RateOverage  float64 // share by which a workspace may exceed its rate and burst
-	RateSlack    float64 // requests beyond that
-	ColdFactor   float64 // factor on what a cold backend server bears
-	ColdSlack    float64 // requests a second beyond that
-	ShiftCap     float64 // share of a region's requests that may change region at once
+	RateOverage  float64       // share by which a workspace may exceed its rate and burst
+	ColdFactor   float64       // factor on what a cold backend server bears
+	ColdSlack    float64       // requests a second beyond that
+	ShiftCap     float64       // share of a region's requests that may change region at once
 }
