conductor: say which backend servers are believed impaired

Beliefs on slow and failing backend servers decide where requests go since hosts share evidence, and no line told of them.

--- a/internal/conductor/loop.go
+++ b/internal/conductor/loop.go
@@ -49,6 +49,7 @@
 	catalog   *cataloger.Catalog
 	adopted   time.Duration // when the catalog was
 	evacuated []string
+	impaired  map[string]bool   // backend servers that were last said to be
 	numbers   map[uint32]string // ids of backend servers, by what they go by between hosts
 	phase     carrier.Phase
 	stop      carrier.Stop
@@ -218,6 +219,7 @@
 	if now-l.swept >= sweepEvery {
 		l.swept = now
 		l.conductor.exchanger.Sweep(time.Now())
+		l.survey(now)
 	}
 	l.duty(now)
 	l.askPeers(now)
