greeter: give test hosts incarnations like real ones, in a seeded order

Hosts sent in the order of a Go map, so that runs differed.

Cause, found by printing who was missing: h3-1 to h3-4. Hosts compare what they know by the XOR of incarnations, and the test's were 302, 303, 304 and 305, whose XOR is 0, so that nobody saw a difference. Real incarnations are times in microseconds with chance bits; four of them cancel out once in 2^32.

Ruled out: duties that change at the start (all views agreed by then).

Change: the test draws incarnations and shuffles the order of sending by a seed, so that its verdict repeats. The product is unchanged.

--- a/pkg/greeter/greeter_test.go
+++ b/pkg/greeter/greeter_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,6 +20,7 @@
 	hosts map[string]*host
 	lost  func(from, to string) bool
 	sent  int
+	rng   *rand.Rand // order in which hosts send
 }
 
 type host struct {
@@ -29,13 +33,15 @@
 	down       bool
 }
 
-func newNet(zones, each int) *net {
-	n := &net{hosts: map[string]*host{}, lost: func(string, string) bool { return false }}
+func newNet(zones, each int) *net { return newNetSeeded(zones, each, 1) }
+
+func newNetSeeded(zones, each int, seed uint64) *net {
+	n := &net{rng: rand.New(rand.NewPCG(seed, 0)), hosts: map[string]*host{}, lost: func(string, string) bool { return false }}
 	var contacts []greeter.Contact
 	for z := range zones {
 		for i := range each {
 			name, zone := fmt.Sprintf("h%d-%d", z, i), fmt.Sprint("z", z)
-			beat := tracker.Beat{ID: tracker.HostID{Name: name, Incarnation: uint64(100*z + i + 1)}, Zone: zone, Control: name}
+			beat := tracker.Beat{ID: tracker.HostID{Name: name, Incarnation: n.rng.Uint64()}, Zone: zone, Control: name}
 			t := tracker.New(beat, tracker.WithSilence(2200*time.Millisecond))
 			n.hosts[name] = &host{
 				name: name, zone: zone, tracker: t, greeter: greeter.New(name, zone, t, nil), load: greeter.Load{Demands: map[uint32]float64{1: 1}, Running: map[uint32]int{7: 2}},
@@ -52,7 +58,10 @@
 
 func (n *net) round() {
 	n.now += 500 * time.Millisecond
-	for _, h := range n.hosts {
+	names := slices.Sorted(maps.Keys(n.hosts))
+	n.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	for _, name := range names {
+		h := n.hosts[name]
 		if h.down {
 			continue
 		}
