conductor: answer what comes last to a stopping host

Ruled out: the time in which requests are taken (the request was never read); giving Shutdown more time (a trial; it drops the request all the same).

Change: the listener of callers closes first, and the host then waits for connections that are new or at work, at most to the end of its time.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -78,6 +78,8 @@
 	reload    func() (*loader.Deployment, error) // reads the settings again; nil when they have no file
 	servers   []*http.Server
 	base      context.Context // of all requests
+	data      net.Listener    // of callers' requests
+	arrivals  *arrivals       // at that listener
 	abort     func()          // gives all requests that run their final answer
 	udp       *net.UDPConn
 }
@@ -111,6 +113,7 @@
 	c.exchanger = exchanger.New(words, settings.Descriptors/idleShare)
 	c.carrier = carrier.New(words, platform, c.clock, c.lender, c.placer, c.exchanger, c.recorder,
 		carrier.WithRetries(retries(settings, settings.Expected)))
+	c.arrivals = newArrivals()
 	c.base, c.abort = context.WithCancel(context.Background())
 	c.loop = newLoop(c)
 	return c
@@ -166,6 +169,10 @@
 			ErrorLog:          logger.Connections(),
 			BaseContext:       func(net.Listener) context.Context { return c.base },
 		}
+		if one.address == c.settings.Data {
+			server.ConnState = c.arrivals.track
+			c.data = listener
+		}
 		c.servers = append(c.servers, server)
 		go serve(server, listener)
 	}
@@ -182,7 +189,7 @@
 )
 
 func serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		klog.ErrorS(err, "listener ended", "address", listener.Addr().String())
 	}
 }
--- a/internal/conductor/stop.go
+++ b/internal/conductor/stop.go
@@ -61,6 +61,7 @@
 	c.loop.send(&leaving{phase: carrier.Finishing, stop: stop})
 	c.abort()
 	c.rest(stop.Ends+finishSpan, 0)
+	c.answerLast(stop.Ends + finishSpan)
 	bye := &farewell{done: make(chan struct{})}
 	c.loop.send(bye)
 	<-bye.done
@@ -78,6 +79,18 @@
 	klog.Flush()
 }
 
+// answerLast takes no new connections and waits until a time, or until nothing is
+// to be expected on those that were opened: a process that is given little
+// processor time may not have read yet what has come.
+func (c *Conductor) answerLast(until time.Duration) {
+	if err := c.data.Close(); err != nil {
+		klog.InfoS("listener could not be closed", "cause", err.Error())
+	}
+	for c.clock.Now() < until && !c.arrivals.none() {
+		time.Sleep(stopLook)
+	}
+}
+
 // rest waits until a time, or until nothing runs after an earlier one.
 func (c *Conductor) rest(until, quiet time.Duration) {
 	for now := c.clock.Now(); now < until; now = c.clock.Now() {
