server: use the limiter's retry budget

The pool of a service kept a retry budget of its own beside limiter.Budget, which the platform's request path brought: the same earning, bound and spending, each with its lock. Both now use the limiter's. The pool's starts empty and follows the service's ratio, as before: options of the budget, with a test.

No behaviour changes.

--- a/internal/server/call.go
+++ b/internal/server/call.go
@@ -71,7 +71,7 @@
 	defer cancel()
 	timer := time.AfterFunc(limit, cancel)
 	defer timer.Stop()
-	c.pool.earnRetry()
+	c.pool.retries.Earn()
 	return c.tryAll(ctx, timer, limit, min(limit, service.QueueTimeout()))
 }
 
@@ -170,11 +170,11 @@
 	switch {
 	case notRun:
 		c.fire("not-run")
-		if again && c.pool.spendRetry() {
+		if again && c.pool.retries.Spend() {
 			return nil
 		}
 		return c.notRun(ctx, err)
-	case again && idempotent(c.r.Method) && c.pool.spendRetry():
+	case again && idempotent(c.r.Method) && c.pool.retries.Spend():
 		c.fire("not-run")
 		return nil
 	}
--- a/internal/server/pool.go
+++ b/internal/server/pool.go
@@ -8,6 +8,7 @@
 	"magnoliahill.example/magnoliahill/internal/admitter"
 	"magnoliahill.example/magnoliahill/internal/clocker"
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
+	"magnoliahill.example/magnoliahill/pkg/limiter"
 	"magnoliahill.example/magnoliahill/pkg/marker"
 	"magnoliahill.example/magnoliahill/pkg/queuer"
 	"magnoliahill.example/magnoliahill/pkg/router"
@@ -27,7 +28,7 @@
 	mu      sync.Mutex
 	service *cataloger.Service
 	queue   *queuer.Queue
-	retries float64       // retries that may be made now
+	retries *limiter.Budget
 	average time.Duration // moving average of the time a pick is held
 }
 
@@ -38,13 +39,17 @@
 }
 
 func newPool(clock *clocker.Clock, r *router.Router) *pool {
-	return &pool{clock: clock, router: r, queue: queuer.New(maxQueue)}
+	return &pool{
+		clock: clock, router: r, queue: queuer.New(maxQueue),
+		retries: limiter.NewBudget(0, maxRetryTokens, limiter.WithNothingSaved()),
+	}
 }
 
 func (p *pool) update(catalog *cataloger.Catalog, service *cataloger.Service) {
 	p.mu.Lock()
 	p.service = service
 	p.mu.Unlock()
+	p.retries.SetRatio(service.RetryBudget())
 	p.router.Update(p.clock.Now(), catalog, service)
 	p.kick()
 }
@@ -163,24 +168,6 @@
 	}
 }
 
-// earnRetry counts a first try towards the retry budget.
-func (p *pool) earnRetry() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.retries = min(p.retries+p.service.RetryBudget(), maxRetryTokens)
-}
-
-// spendRetry reports whether the budget allows one more retry.
-func (p *pool) spendRetry() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.retries < 1 {
-		return false
-	}
-	p.retries--
-	return true
-}
-
 func (p *pool) waiting() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/limiter/budget.go
+++ b/pkg/limiter/budget.go
@@ -12,9 +12,28 @@
 	saved float64 // between 0 and size
 }
 
-// NewBudget returns a full budget.
-func NewBudget(ratio, size float64) *Budget {
-	return &Budget{ratio: ratio, size: size, saved: size}
+// BudgetOption sets one property of a budget.
+type BudgetOption func(*Budget)
+
+// WithNothingSaved makes a budget start empty.
+func WithNothingSaved() BudgetOption {
+	return func(b *Budget) { b.saved = 0 }
+}
+
+// NewBudget returns a budget, which is full unless an option says otherwise.
+func NewBudget(ratio, size float64, options ...BudgetOption) *Budget {
+	b := &Budget{ratio: ratio, size: size, saved: size}
+	for _, option := range options {
+		option(b)
+	}
+	return b
+}
+
+// SetRatio changes how many retries one first try earns.
+func (b *Budget) SetRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio = ratio
 }
 
 // Resize changes how many retries can be saved up.
--- a/pkg/limiter/budget_test.go
+++ b/pkg/limiter/budget_test.go
@@ -45,3 +45,15 @@
 	is.True(b.Spend())
 	is.True(!b.Spend())
 }
+
+func TestBudgetWithNothingSavedEarnsFirst(t *testing.T) {
+	is := is.New(t)
+	b := limiter.NewBudget(0, 2, limiter.WithNothingSaved())
+	is.True(!b.Spend())
+	b.SetRatio(0.5)
+	b.Earn()
+	is.True(!b.Spend())
+	b.Earn()
+	is.True(b.Spend())
+	is.True(!b.Spend())
+}
