exchanger, divider, lender: drop what nothing reads

link.reused was set and never read; Divider.Part had no caller, tests included; lender compared hosts by a loop that slices.EqualFunc is.

No behaviour changes.

--- a/internal/exchanger/link.go
+++ b/internal/exchanger/link.go
@@ -16,7 +16,6 @@
 	key     string        // pool it belongs to
 	idle    time.Time     // since when it is in the pool
 	allowed time.Duration // how long it may stay idle and still be used
-	reused  bool          // it carried a request before
 }
 
 func newLink(conn net.Conn, key string) *link {
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -102,7 +102,6 @@
 // put keeps a connection whose last answer was read to its end.
 func (p *pool) put(l *link, now time.Time) {
 	l.idle = now
-	l.reused = true
 	p.mu.Lock()
 	list := p.idle[l.key]
 	if len(list) < maxIdle && p.count < p.most {
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,24 +51,13 @@
 
 // SetHosts takes in the live hosts of the own zone, the own one included.
 func (l *Lender) SetHosts(hosts []tracker.Host) {
-	if same(l.view.Load().hosts, hosts) {
+	same := func(a, b tracker.Host) bool { return a.ID == b.ID }
+	if slices.EqualFunc(l.view.Load().hosts, hosts, same) {
 		return
 	}
 	l.view.Store(&view{hosts: hosts, holders: map[string]tracker.Host{}})
 }
 
-func same(a, b []tracker.Host) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i].ID != b[i].ID {
-			return false
-		}
-	}
-	return true
-}
-
 // holder returns the host that holds a limit for the zone.
 func (v *view) holder(limit string) (tracker.Host, bool) {
 	if len(v.hosts) == 0 {
--- a/pkg/divider/divider.go
+++ b/pkg/divider/divider.go
@@ -231,15 +231,3 @@
 	}
 	return demand
 }
-
-// Part returns the host's part of a limit in requests a second, and its tokens.
-func (d *Divider) Part(now time.Duration, name string) (rate, tokens float64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p := d.parts[name]
-	if p == nil {
-		return 0, 0
-	}
-	unit := float64(limiter.Unit)
-	return float64(p.bucket.Amount().Rate) / unit, float64(p.bucket.Tokens(now)) / unit
-}
