conductor: work out a greeting once for all hosts that are told the same

For each of some 25 letters twice a second a host worked out the same digest, positions, pulses, who is on duty and the sums of load. They differ only by whether the recipient is in another zone and needs whole heartbeats; evidence alone goes to each host once. Letters sent together now carry the same counter of the own heartbeat, where it rose from one to the next.

The demand by region took the whole load of the host where its origins do, and summed placer.Demand beside greeter.Origin, which is the same sum: now origins are summed and named once.

--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -59,11 +59,23 @@
 
 func (l *loop) post(now time.Duration, letters []greeter.Letter) {
 	load := l.load()
+	made := map[audience]*peerv1.Greeting{}
 	for _, letter := range letters {
-		l.conductor.send(letter.Control, l.greeting(now, letter, load))
+		to := audience{letter.Foreign, letter.Full}
+		if made[to] == nil {
+			made[to] = l.greeting(now, to, load)
+		}
+		made[to].Evidence = messenger.EncodeEvidence(l.greeter.Evidence(letter))
+		l.conductor.send(letter.Control, made[to])
 	}
 }
 
+// audience is hosts that are told the same at one time, but for evidence.
+type audience struct {
+	foreign bool // in other zones
+	full    bool // that need whole heartbeats
+}
+
 // announce tells the hosts of the own zone at once of changes in the store.
 func (l *loop) announce(now time.Duration) {
 	if !l.watching {
@@ -78,14 +90,13 @@
 	l.post(now, near)
 }
 
-func (l *loop) greeting(now time.Duration, letter greeter.Letter, load greeter.Load) *peerv1.Greeting {
+func (l *loop) greeting(now time.Duration, to audience, load greeter.Load) *peerv1.Greeting {
 	m := &peerv1.Greeting{
 		Digest:    l.greeter.Digest(now),
 		Watching:  l.watching,
 		StoreLost: l.outage(now),
 		Blind:     l.blind(),
-		Records:   messenger.EncodeRecords(l.greeter.Records(now, load, letter.Foreign)),
-		Evidence:  messenger.EncodeEvidence(l.greeter.Evidence(letter)),
+		Records:   messenger.EncodeRecords(l.greeter.Records(now, load, to.foreign)),
 	}
 	if since := now - l.outageAt; l.outageAt > 0 && since < outageLife {
 		m.LostBefore = uint32(since.Milliseconds()) + 1
@@ -99,10 +110,10 @@
 	}
 	beats := l.tracker.Beats(now)
 	m.Sender = beats[0].ID.Incarnation
-	if !letter.Full && (letter.Foreign || !l.greeter.OnDuty(now)) {
+	if !to.full && (to.foreign || !l.greeter.OnDuty(now)) {
 		beats = l.ownZone(beats) // of other zones hosts hear from those on duty
 	}
-	if letter.Full {
+	if to.full {
 		m.Beats = messenger.EncodeBeats(beats)
 		return m
 	}
@@ -148,28 +159,32 @@
 	if l.catalog == nil {
 		return nil
 	}
-	zones := l.greeter.Zones(now, l.load())
+	zones := l.greeter.Zones(now, origins(l.conductor.placer.Demand()))
 	all := map[string]map[string]placer.Demand{}
 	for _, service := range l.catalog.Services() {
-		byRegion := map[string]placer.Demand{}
+		byRegion := map[string]greeter.Origin{}
 		for zone, origins := range zones {
 			region := l.conductor.settings.Regions[zone]
-			byRegion[region] = byRegion[region].Add(l.bound(origins[greeter.Number(service.Name())]))
+			byRegion[region] = byRegion[region].Add(origins[greeter.Number(service.Name())])
 		}
-		all[service.Name()] = byRegion
+		all[service.Name()] = l.named(byRegion)
 	}
 	return all
 }
 
-// bound puts names for the numbers that hosts use between them.
-func (l *loop) bound(origin greeter.Origin) placer.Demand {
-	one := placer.Demand{Free: origin.Free, Bound: map[string]int{}}
-	for _, region := range l.conductor.settings.Regions {
-		if count := origin.Bound[greeter.Number(region)]; count > 0 {
-			one.Bound[region] = count
+// named puts names for the numbers that hosts use between them.
+func (l *loop) named(byRegion map[string]greeter.Origin) map[string]placer.Demand {
+	all := make(map[string]placer.Demand, len(byRegion))
+	for region, origin := range byRegion {
+		one := placer.Demand{Free: origin.Free, Bound: map[string]int{}}
+		for _, other := range l.conductor.settings.Regions {
+			if count := origin.Bound[greeter.Number(other)]; count > 0 {
+				one.Bound[other] = count
+			}
 		}
+		all[region] = one
 	}
-	return one
+	return all
 }
 
 // evidence returns what the host's tries said of backend servers.
--- a/pkg/greeter/greeter.go
+++ b/pkg/greeter/greeter.go
@@ -291,8 +291,15 @@
 
 // Zones returns where the requests of each availability zone run, as far as it
 // was heard of lately.
-func (g *Greeter) Zones(now time.Duration, own Load) map[string]map[uint32]Origin {
-	zones := map[string]map[uint32]Origin{g.zone: g.zoneSum(now, own).Origins}
+func (g *Greeter) Zones(now time.Duration, own map[uint32]Origin) map[string]map[uint32]Origin {
+	sum := newLoad()
+	sum.add(Load{Origins: own})
+	for scope, k := range g.records {
+		if strings.HasPrefix(scope, hostScope) && now-k.at < recordLife {
+			sum.add(Load{Origins: k.record.Origins})
+		}
+	}
+	zones := map[string]map[uint32]Origin{g.zone: sum.Origins}
 	for scope, k := range g.records {
 		if zone, ok := strings.CutPrefix(scope, zoneScope); ok && now-k.at < recordLife {
 			zones[zone] = k.record.Origins
@@ -313,11 +320,12 @@
 		l.Running[number] += running
 	}
 	for number, origin := range more.Origins {
-		l.Origins[number] = l.Origins[number].add(origin)
+		l.Origins[number] = l.Origins[number].Add(origin)
 	}
 }
 
-func (o Origin) add(more Origin) Origin {
+// Add returns the requests of both.
+func (o Origin) Add(more Origin) Origin {
 	sum := Origin{Free: o.Free + more.Free, Bound: map[uint32]int{}}
 	for _, one := range []Origin{o, more} {
 		for region, count := range one.Bound {
--- a/pkg/placer/demand.go
+++ b/pkg/placer/demand.go
@@ -22,17 +22,6 @@
 	Bound map[string]int // requests that may not, by the region they run in
 }
 
-// Add returns the sum of both.
-func (d Demand) Add(more Demand) Demand {
-	sum := Demand{Free: d.Free + more.Free, Bound: map[string]int{}}
-	for _, one := range []Demand{d, more} {
-		for region, count := range one.Bound {
-			sum.Bound[region] += count
-		}
-	}
-	return sum
-}
-
 // Demand returns what this host has under way, by service.
 func (p *Placer) Demand() map[string]Demand {
 	p.mu.Lock()
