--- a/internal/conductor/beliefs.go
+++ b/internal/conductor/beliefs.go
@@ -8,6 +8,7 @@
 	"magnoliahill.example/magnoliahill/internal/exchanger"
 	"magnoliahill.example/magnoliahill/internal/keeper"
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
+	"magnoliahill.example/magnoliahill/pkg/divider"
 	"magnoliahill.example/magnoliahill/pkg/greeter"
 	"magnoliahill.example/magnoliahill/pkg/placer"
 	"magnoliahill.example/magnoliahill/pkg/registrar"
@@ -50,6 +51,17 @@
 	}
 }
 
+// limits returns the rates that all hosts share.
+func limits(catalog *cataloger.Catalog) []divider.Limit {
+	var limits []divider.Limit
+	for _, w := range catalog.Workspaces() {
+		if w.Rate() > 0 {
+			limits = append(limits, divider.Limit{Name: w.Name(), Rate: w.Rate(), Burst: w.Burst()})
+		}
+	}
+	return limits
+}
+
 // logRates writes a line for each workspace whose rate changed.
 func logRates(before, after *cataloger.Catalog) {
 	for _, w := range after.Workspaces() {
--- a/internal/conductor/table.go
+++ b/internal/conductor/table.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"magnoliahill.example/magnoliahill/internal/keeper"
-	"magnoliahill.example/magnoliahill/pkg/cataloger"
-	"magnoliahill.example/magnoliahill/pkg/divider"
 )
 
 const maxRemoved = 512 // removals that are remembered for other hosts
@@ -113,14 +111,3 @@
 func (t *table) behind(now time.Duration) bool {
 	return t.ahead > t.upTo() && now-t.aheadSince >= behindFor
 }
-
-// limits returns the rates that all hosts share.
-func limits(catalog *cataloger.Catalog) []divider.Limit {
-	var limits []divider.Limit
-	for _, w := range catalog.Workspaces() {
-		if w.Rate() > 0 {
-			limits = append(limits, divider.Limit{Name: w.Name(), Rate: w.Rate(), Burst: w.Burst()})
-		}
-	}
-	return limits
-}
