roundtripper, dispatcher: bound what a backend server can send and whose answer counts

Cause: heads and bodies of backend servers were read without a bound until the time limit; a signed answer without a request id was taken for the caller's own; a connection released after a shed answer was closed under its next user; a refusal waited for the rest of a body that the caller had stopped sending. Ruled out: that net/http limits the head, it does not for ReadResponse. Before: 504 for heads and bodies without end, memory growing until the limit; 'wrong' delivered as the answer to id-1; three connections for three requests; no answer at all for a body that stalls. After: the new cases of TestBackendFaults, TestConnectionIsReusedAfterShed and TestRequestWithoutItsBodyIsNotCharged pass. planFaults queued only the first fault and registered a wrong instance, so the matrix of fault pairs never met a second fault; it now does. Also: the charge of a request whose body did not arrive is returned, a changed retry ratio applies to existing budgets, IPv6 hosts in Host headers.

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -28,6 +29,10 @@
 	noConfigRetryAfter = 500 * time.Millisecond // a starting host has loaded its configuration by then
 	stoppingRetryAfter = 50 * time.Millisecond  // another host accepts the request at once
 	minRetryAfter      = 100 * time.Millisecond // two round trips between regions
+	// unreadBodyTimeout is how long a refusal waits for a body that the host has
+	// not read. Closing a connection with unread bytes resets it, which may destroy
+	// the refusal.
+	unreadBodyTimeout = 250 * time.Millisecond
 	// retryAfterShare is the share of the time left over which retries of refused
 	// requests are spread. Callers wait for at most a third of it.
 	retryAfterShare = 0.3
@@ -76,6 +81,7 @@
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline-c.dispatcher.clock.Now())
 	defer cancel()
 	if refusal := c.readBody(); refusal != nil {
+		c.refund(refusal)
 		return refusal
 	}
 	c.budget = c.dispatcher.budget(c.service)
@@ -138,10 +144,13 @@
 	c.deadline = c.startedAt + limit
 }
 
-// hostName returns a Host header without its port.
+// hostName returns a Host header without its port. An IPv6 address is returned
+// without its brackets.
 func hostName(host string) string {
-	name, _, _ := strings.Cut(host, ":")
-	return name
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return strings.Trim(host, "[]")
 }
 
 // charge counts the request against the workspace's rate limit.
@@ -171,13 +180,12 @@
 	if c.r.ContentLength == 0 {
 		return nil
 	}
-	control := http.NewResponseController(c.w)
-	if err := control.SetReadDeadline(time.Now().Add(c.route.Timeout())); err != nil {
+	if err := c.setReadDeadline(c.route.Timeout()); err != nil {
 		return admitter.RefuseNotRun(http.StatusBadRequest, header.ReasonBadRequest, "the body cannot be read", 0)
 	}
 	_, err := c.body.Prefetch()
-	if resetErr := control.SetReadDeadline(time.Time{}); err == nil {
-		err = resetErr
+	if err == nil {
+		err = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
 	}
 	if err != nil {
 		return admitter.RefuseNotRun(http.StatusRequestTimeout, header.ReasonBadRequest, "the body did not arrive", 0)
@@ -185,6 +193,12 @@
 	return nil
 }
 
+// setReadDeadline limits the time in which the rest of the request must arrive.
+// The HTTP server removes the limit before the connection's next request.
+func (c *call) setReadDeadline(limit time.Duration) error {
+	return http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(limit))
+}
+
 // allowedRegions returns the regions in which the request may be executed: those
 // that the route and the workspace both allow. It returns nil if all regions are
 // allowed.
@@ -272,8 +286,6 @@
 func (c *call) classify(ctx context.Context, resp *roundtripper.Response, err error) (placer.Outcome, placer.Load) {
 	var shed *roundtripper.ShedError
 	switch {
-	case err == nil && c.unsignedSuccess(resp):
-		return placer.Failed, placer.Load{}
 	case err == nil && resp.Status >= http.StatusInternalServerError:
 		return placer.Failed, c.reportedLoad(resp)
 	case err == nil:
@@ -295,12 +307,6 @@
 	return c.dispatcher.codec.DecodeLoad(resp.Header.Get(c.dispatcher.headerNames.Load))
 }
 
-// unsignedSuccess reports whether a response has a success status but lacks the
-// signature that backend servers add to their own responses.
-func (c *call) unsignedSuccess(resp *roundtripper.Response) bool {
-	return resp.Status < http.StatusMultipleChoices && resp.Header.Get(c.dispatcher.headerNames.ResponseStamp) == ""
-}
-
 // afterFailure decides after a failed attempt whether to retry, to forward the
 // backend server's error response, or to refuse the request.
 func (c *call) afterFailure(ctx context.Context, resp *roundtripper.Response, err error) (*roundtripper.Response, *admitter.Refusal, bool) {
@@ -309,7 +315,6 @@
 	if !unreachable {
 		c.sentAttempts++
 	}
-	errorResponse := resp != nil && !c.unsignedSuccess(resp)
 	switch {
 	case ctx.Err() != nil:
 		return nil, c.timedOutOrCanceled(ctx), false
@@ -318,7 +323,7 @@
 			_ = resp.Rest.Close()
 		}
 		return nil, nil, true
-	case errorResponse && !c.impliesNotRun(resp.Status):
+	case resp != nil && !c.impliesNotRun(resp.Status):
 		return resp, nil, false
 	case notRun && !c.mayHaveRun:
 		return nil, unavailable(header.ReasonShed, "the backend servers have no room", c.retryAfter(0)), false
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -142,12 +142,13 @@
 // SetSnapshot replaces the snapshot that new requests are served under.
 func (c *Dispatcher) SetSnapshot(s *Snapshot) { c.snapshot.Store(s) }
 
-// SetRetries changes the limit on retries. Existing budgets keep their ratio.
+// SetRetries changes the limit on retries.
 func (c *Dispatcher) SetRetries(r Retries) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.retries = r
 	for _, budget := range c.budgets {
+		budget.SetRatio(r.Ratio)
 		budget.Resize(r.Burst)
 	}
 }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -1,8 +1,10 @@
 package dispatcher_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -199,16 +201,10 @@
 		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
 			s := newTestHost(t, 1)
-			s.backends[0].QueueFaults(c.Faults...)
 			if len(c.Faults) > 1 {
-				// The second attempt goes to the only other backend server.
-				other, err := target.Start("i-other", headerNames)
-				is.NoErr(err)
-				t.Cleanup(other.Close)
-				other.QueueFaults(c.Faults[1])
-				s.backends[0].QueueFaults()
-				s.backends = append(s.backends, other)
 				s.planFaults(c.Faults)
+			} else {
+				s.backends[0].QueueFaults(c.Faults...)
 			}
 			got := s.send(c.Method, c.Path, "id-1", c.Body)
 			is.Equal(got.status, c.Status)
@@ -221,28 +217,33 @@
 	}
 }
 
-// planFaults assigns one fault to each of two backend servers, so that the first
-// attempt meets the first fault and the second attempt the second.
+// planFaults replaces the backend servers by two with one fault each, so that the
+// first attempt meets the first fault and the second attempt the second.
 func (s *testHost) planFaults(faults []target.Fault) {
-	s.backends[0].Close()
-	first, err := target.Start("i-first", headerNames)
-	if err != nil {
-		s.t.Fatal(err)
+	for _, backend := range s.backends {
+		backend.Close()
 	}
-	s.t.Cleanup(first.Close)
-	first.QueueFaults(faults[0])
-	s.backends = []*target.Responder{first, s.backends[1]}
+	s.backends = nil
+	r := registrar.New()
 	// Only the first one is in the host's region, so the other is used only
 	// after the first one failed.
-	r := registrar.New()
-	r.Put(0, registrar.NewInstance("i-first", "svc", first.Address(), "z", registrar.WithSlots(8)))
-	r.Put(0, registrar.NewInstance("i-other", "svc", s.backends[1].Address(), "y", registrar.WithSlots(8)))
+	for i, zone := range []string{"z", "y"} {
+		backend, err := target.Start(fmt.Sprint("i-planned-", i), headerNames)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.t.Cleanup(backend.Close)
+		backend.QueueFaults(faults[i])
+		s.backends = append(s.backends, backend)
+		r.Put(0, registrar.NewInstance(backend.Instance(), "svc", backend.Address(), zone, registrar.WithSlots(8)))
+	}
 	s.placer.Update(s.clock.Now(), []placer.Service{{Name: "svc"}}, r.Instances(), nil)
 }
 
 var faults = []target.Fault{
 	target.None, target.Shed, target.NoResponse, target.Reset, target.CutShort, target.ForeignResponse, target.DuplicateResponse, target.Garbage,
 	target.Unsigned, target.NoContentLength, target.ServerError, target.Unavailable, target.Hang, target.UnannouncedClose, target.EarlyResponse, target.Misdirected,
+	target.AnonymousResponse, target.EndlessHead, target.EndlessBody, target.StalledShed,
 }
 
 // Guards against wrong reports to the caller under every pair of faults on two
@@ -281,6 +282,51 @@
 	}
 }
 
+// The connection on which a request was shed carries the next request.
+func TestConnectionIsReusedAfterShed(t *testing.T) {
+	is := is.New(t)
+	s := newTestHost(t, 1)
+	s.backends[0].QueueFaults(target.Shed, target.Shed)
+	for i, status := range []int{http.StatusServiceUnavailable, http.StatusServiceUnavailable, http.StatusOK} {
+		is.Equal(s.send(http.MethodPost, "/order/", fmt.Sprint("id-", i), "brooms").status, status)
+	}
+	is.Equal(s.backends[0].Connections(), 1)
+}
+
+// A request whose body does not arrive never reached a backend server, so it does
+// not use up the rate of its workspace.
+func TestRequestWithoutItsBodyIsNotCharged(t *testing.T) {
+	is := is.New(t)
+	s := newTestHost(t, 1)
+	for range 4 {
+		conn, err := net.Dial("tcp", s.server.Listener.Addr().String())
+		is.NoErr(err)
+		is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
+		_, err = fmt.Fprintf(conn, "POST /keyed/ HTTP/1.1\r\nHost: shop\r\n%s: id\r\n%s: %s\r\nContent-Length: 10\r\n\r\nx", headerNames.RequestID, headerNames.Key, key)
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusRequestTimeout)
+		is.NoErr(conn.Close())
+	}
+	is.Equal(s.send(http.MethodPost, "/keyed/", "d", "brooms", headerNames.Key, key).status, http.StatusOK)
+}
+
+// A changed ratio applies to the budgets of services that have served requests.
+func TestChangedRetryRatioAppliesToExistingBudgets(t *testing.T) {
+	is := is.New(t)
+	s := newTestHost(t, 2)
+	s.dispatcher.SetRetries(dispatcher.Retries{Ratio: 0, Burst: 1})
+	fail := func(id string) int {
+		s.planFaults([]target.Fault{target.ServerError, target.None})
+		return s.send(http.MethodGet, "/read/", id, "").status
+	}
+	is.Equal(fail("a"), http.StatusOK) // the burst
+	is.Equal(fail("b"), http.StatusInternalServerError)
+	s.dispatcher.SetRetries(dispatcher.Retries{Ratio: 1, Burst: 1})
+	is.Equal(fail("c"), http.StatusOK)
+}
+
 func TestRequestReachesTheBackendServerUnchanged(t *testing.T) {
 	is := is.New(t)
 	s := newTestHost(t, 1)
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -31,7 +31,7 @@
 func (c *call) recordAttempt(pick placer.Pick, resp *roundtripper.Response, err error) {
 	result := attemptUnknown
 	switch {
-	case err == nil && resp.Status < http.StatusInternalServerError && !c.unsignedSuccess(resp):
+	case err == nil && resp.Status < http.StatusInternalServerError:
 		result = attemptAnswered
 	case errors.Is(err, forwarder.ErrShed):
 		result = attemptShed
@@ -114,6 +114,11 @@
 	headers.Set(c.dispatcher.headerNames.RequestID, c.id)
 	headers.Set("Content-Type", "text/plain; charset=utf-8")
 	headers.Set(header.Reason, refusal.Reason())
+	if c.r.ContentLength != 0 {
+		if err := c.setReadDeadline(unreadBodyTimeout); err != nil {
+			headers.Set("Connection", "close")
+		}
+	}
 	if after := refusal.RetryAfter(); after > 0 {
 		headers.Set("Retry-After", c.dispatcher.codec.FormatRetryAfter(after))
 	}
--- a/internal/roundtripper/conn.go
+++ b/internal/roundtripper/conn.go
@@ -5,21 +5,50 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const readBufferSize = 4 << 10 // bytes
 
+// errHeadTooLong is returned by reads beyond the limit on response heads.
+var errHeadTooLong = errors.New("response head is too long")
+
 // persistConn is a reusable connection to a backend server.
 type persistConn struct {
 	net.Conn
-	reader    *bufio.Reader
+	reader    *bufio.Reader // reads from the connection through limiter
+	limiter   *readLimiter
 	key       string        // pool key of the backend server
 	idleSince time.Time     // when the connection was returned to the pool
 	maxIdle   time.Duration // how long the connection may be idle and still be reused
 }
 
 func newPersistConn(conn net.Conn, key string) *persistConn {
-	return &persistConn{Conn: conn, key: key, reader: bufio.NewReaderSize(conn, readBufferSize)}
+	limiter := &readLimiter{conn: conn, left: unlimited}
+	return &persistConn{Conn: conn, key: key, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}
+}
+
+// readLimiter bounds the bytes that are read for response heads, which the HTTP
+// library reads into memory without a limit of its own.
+type readLimiter struct {
+	conn net.Conn
+	left int // bytes that may still be read; unlimited outside of heads
+}
+
+const unlimited = -1
+
+// Read implements io.Reader.
+func (l *readLimiter) Read(p []byte) (int, error) {
+	if l.left == unlimited {
+		return l.conn.Read(p)
+	}
+	if l.left == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // usable reports whether the connection is open and has no unread bytes. Bytes
--- a/internal/roundtripper/response.go
+++ b/internal/roundtripper/response.go
@@ -27,19 +27,23 @@
 // Load returns the load header of the response, or "".
 func (e *ShedError) Load() string { return e.load }
 
-// drain discards the response body, so that the connection can be reused. It
-// closes the connection instead when the body is long or cannot be read.
+// drain discards the body of a response if it has arrived completely, so that the
+// connection can be reused. Otherwise it closes the connection: the request may
+// go to another backend server, and the body may never end.
 func (x *exchange) drain(resp *http.Response) {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBody))
-	if err != nil || n == maxBufferedBody {
-		resp.Close = true
+	arrived := resp.ContentLength >= 0 && resp.ContentLength <= int64(x.conn.reader.Buffered())
+	if arrived {
+		_, err := io.CopyN(io.Discard, resp.Body, resp.ContentLength)
+		arrived = err == nil
 	}
+	resp.Close = resp.Close || !arrived
 	x.release(resp)
 }
 
 // release returns the connection to the pool, or closes it if it cannot be
 // reused.
 func (x *exchange) release(resp *http.Response) {
+	x.released = true
 	if !x.reusable(resp) {
 		_ = x.conn.Close()
 		return
@@ -92,6 +96,9 @@
 	}
 	result := &Response{Status: resp.StatusCode, Header: resp.Header, Body: body.Bytes(), Length: resp.ContentLength}
 	if n > maxBufferedBody {
+		if !x.signed(resp) {
+			return nil, errors.Wrap(ErrBadResponse, "long body without a signature")
+		}
 		result.Rest = &restReader{exchange: x, resp: resp}
 		return result, nil
 	}
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -27,14 +27,15 @@
 	// ErrMisdirected means that the address now belongs to another backend
 	// server.
 	ErrMisdirected = errors.New("address belongs to another backend server")
-	// ErrBadResponse means that the response is missing, truncated or not valid
-	// HTTP. The request may have been executed.
+	// ErrBadResponse means that the response is missing, truncated, unsigned or
+	// not valid HTTP. The request may have been executed.
 	ErrBadResponse = errors.New("missing or invalid response from backend server")
 )
 
 const (
 	maxBufferedBody        = 1 << 20  // bytes of a response that are read before any are forwarded
 	maxInitialBuffer       = 64 << 10 // maximum bytes allocated for a response body before it is read
+	maxHeadBytes           = 64 << 10 // bytes of the heads that are read for one request; the limit for callers' heads is the same
 	maxMismatched          = 4        // responses to other requests that are skipped
 	nonIdempotentIdleShare = 0.5      // share of its maximum idle time after which a connection is not reused
 	idempotentIdleShare    = 0.8      // the same for idempotent requests, which can be retried
@@ -115,12 +116,11 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	x := &exchange{roundTripper: t, conn: conn, req: req, stopCancel: stop}
 	resp, err := x.roundTrip()
-	if err != nil {
+	if err != nil && !x.released {
 		stop()
 		_ = conn.Close()
-		return nil, err
 	}
-	return resp, nil
+	return resp, err
 }
 
 // connect returns a pooled connection, or a new one when none can be reused. The
@@ -148,10 +148,11 @@
 	req          *Request
 	stopCancel   func() bool // detaches the context; false if it was already canceled
 	sendResult   chan error  // result of sending a long body; nil if the body was sent with the head
+	released     bool        // the connection was closed or belongs to the pool again; only the pool may use it
 }
 
-// roundTrip sends the request and returns the response. The connection is closed
-// after any error.
+// roundTrip sends the request and returns the response. After an error the
+// connection is not used again unless it was released.
 func (x *exchange) roundTrip() (*Response, error) {
 	if err := x.send(); err != nil {
 		return nil, errors.Wrap(ErrBadResponse, err.Error())
@@ -164,6 +165,10 @@
 		x.drain(resp)
 		return nil, err
 	}
+	if !x.signed(resp) && resp.StatusCode < http.StatusMultipleChoices {
+		// Its body may never end, and no caller is given it.
+		return nil, errors.Wrapf(ErrBadResponse, "status %d without a signature", resp.StatusCode)
+	}
 	return x.readBody(resp)
 }
 
@@ -244,6 +249,8 @@
 func (x *exchange) readHead() (*http.Response, error) {
 	methodOnly := &http.Request{Method: x.req.Method}
 	mismatched := 0
+	x.conn.limiter.left = maxHeadBytes
+	defer func() { x.conn.limiter.left = unlimited }()
 	for interim := 0; interim <= maxInterim; {
 		resp, err := http.ReadResponse(x.conn.reader, methodOnly)
 		if err != nil {
@@ -253,29 +260,49 @@
 			interim++
 			continue
 		}
-		id := resp.Header.Get(x.roundTripper.headerNames.RequestID)
-		if id == "" || id == x.req.ID {
+		if x.isOwn(resp) {
 			return resp, nil
 		}
-		if mismatched++; mismatched > maxMismatched || resp.Close || resp.ContentLength < 0 {
+		if mismatched++; mismatched > maxMismatched || !skippable(resp) {
 			return nil, forwarder.ErrMismatched
 		}
+		x.conn.limiter.left = unlimited
 		if _, err := io.CopyN(io.Discard, resp.Body, resp.ContentLength); err != nil {
 			return nil, forwarder.ErrMismatched
 		}
+		x.conn.limiter.left = maxHeadBytes
 	}
 	return nil, errors.Wrap(ErrBadResponse, "too many interim responses")
 }
 
+// isOwn reports whether a response may belong to this request. One that carries
+// the signature of a backend server must also carry the ID of the request: a late
+// copy of an earlier response may be all that arrived.
+func (x *exchange) isOwn(resp *http.Response) bool {
+	id := resp.Header.Get(x.roundTripper.headerNames.RequestID)
+	return id == x.req.ID || id == "" && !x.signed(resp)
+}
+
+// signed reports whether a response has the signature that backend servers add
+// to their own responses.
+func (x *exchange) signed(resp *http.Response) bool {
+	return resp.Header.Get(x.roundTripper.headerNames.ResponseStamp) != ""
+}
+
+// skippable reports whether the end of a response to another request is known
+// and near, so that the next response on the connection can be read.
+func skippable(resp *http.Response) bool {
+	return !resp.Close && resp.ContentLength >= 0 && resp.ContentLength <= maxBufferedBody
+}
+
 // notRunError returns the error of a response that reports that the request was
 // not executed, and nil for all other responses. A signed 421 without the not-run
 // header is the backend server's own response; any other 421 means that the
 // request was misdirected.
 func (x *exchange) notRunError(resp *http.Response) error {
 	notRun := resp.Header.Get(x.roundTripper.headerNames.NotRun) != ""
-	signed := resp.Header.Get(x.roundTripper.headerNames.ResponseStamp) != ""
 	switch {
-	case resp.StatusCode == http.StatusMisdirectedRequest && (notRun || !signed):
+	case resp.StatusCode == http.StatusMisdirectedRequest && (notRun || !x.signed(resp)):
 		return ErrMisdirected
 	case notRun:
 		return &ShedError{load: resp.Header.Get(x.roundTripper.headerNames.Load)}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,10 @@
 	UnannouncedClose  Fault = "closes"    // responds and closes the connection without announcing it in the response
 	EarlyResponse     Fault = "early"     // responds before it reads the body, and then reads it
 	Misdirected       Fault = "elsewhere" // responds as another instance that has taken over the address
+	AnonymousResponse Fault = "anonymous" // sends a signed response without a request ID first
+	EndlessHead       Fault = "endless-head"
+	EndlessBody       Fault = "endless-body" // sends status 200 without a signature and a body that never ends
+	StalledShed       Fault = "stalled-shed" // like Shed, but the announced body never arrives
 )
 
 // Execution is one request that the backend server executed.
@@ -190,6 +195,11 @@
 	if fault == Misdirected || (expected != "" && expected != t.instance) {
 		return t.write(conn, "HTTP/1.1 421 Misdirected Request\r\n"+t.headers.ServedBy+": other\r\nContent-Length: 0\r\n\r\n")
 	}
+	if fault == StalledShed {
+		t.write(conn, "HTTP/1.1 503 Service Unavailable\r\n"+t.headers.NotRun+": 1\r\nContent-Length: 100\r\n\r\n")
+		_, _ = io.Copy(io.Discard, conn) // ends when the client closes the connection
+		return false
+	}
 	if fault == Shed {
 		return t.write(conn, "HTTP/1.1 503 Service Unavailable\r\n"+t.headers.NotRun+": 1\r\n"+t.headers.Load+": 1,0,8\r\nContent-Length: 0\r\n\r\n")
 	}
@@ -224,6 +234,14 @@
 		return false
 	case ForeignResponse:
 		return t.write(conn, t.formatHead("200 OK", "another", 5, "")+"wrong"+response)
+	case AnonymousResponse:
+		return t.write(conn, "HTTP/1.1 200 OK\r\n"+t.headers.ResponseStamp+": s.another\r\nContent-Length: 5\r\n\r\nwrong"+response)
+	case EndlessHead:
+		t.writeEndless(conn, "HTTP/1.1 200 OK\r\n", "X-Filler: "+strings.Repeat("x", 1000)+"\r\n", 0)
+		return false
+	case EndlessBody:
+		t.writeEndless(conn, "HTTP/1.1 200 OK\r\n"+t.headers.RequestID+": "+id+"\r\n\r\n", "x", time.Millisecond)
+		return false
 	case DuplicateResponse:
 		return t.write(conn, response+response)
 	case Garbage:
@@ -248,6 +266,14 @@
 	return t.write(conn, response)
 }
 
+// writeEndless writes text and then the same filler with a pause after each one,
+// until the client closes the connection or the target ends.
+func (t *Responder) writeEndless(conn net.Conn, text, filler string, pause time.Duration) {
+	for ok := t.write(conn, text); ok; ok = t.write(conn, filler) {
+		time.Sleep(pause)
+	}
+}
+
 // write writes text to a connection and reports success.
 func (t *Responder) write(conn net.Conn, text string) bool {
 	_, err := io.WriteString(conn, text)
