gossiper, tracker: compare views by zone and send between zones by turns

Each message also sorted all live hosts twice. Change: digests by zone, complete heartbeats only of zones that differ, relays paired and, to other regions, by turns; health reports between zones every second round; the tracker keeps its order and an index by incarnation. A host whose only digest is that of its own zone gets it from the host of another zone that it reached. Digests and other state of forgotten hosts are dropped.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -84,7 +84,8 @@
 		caches:     map[string]*objectCache{},
 		hostCount:  c.settings.ExpectedHosts,
 	}
-	l.gossiper = gossiper.New(c.settings.Host, c.settings.Zone, l.tracker, c.settings.Seeds)
+	l.gossiper = gossiper.New(c.settings.Host, c.settings.Zone, l.tracker, c.settings.Seeds,
+		gossiper.WithRegions(c.settings.Regions))
 	l.kindOrder = []string{kinds.Config, kinds.Servers, kinds.Evacuations, kinds.Hosts}
 	for _, kind := range l.kindOrder {
 		l.caches[kind] = newObjectCache(kind)
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -16,7 +17,6 @@
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1/peerv1connect"
 	"magnoliahill.example/magnoliahill/pkg/gossiper"
-	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
 
 const (
@@ -42,7 +42,7 @@
 	var first []gossiper.Recipient
 	l.deferred = nil
 	l.gossiper.StartRound(now, l.healthReports(now))
-	for i, recipient := range l.gossiper.Recipients(now) {
+	for i, recipient := range l.gossiper.RoundRecipients(now) {
 		if i%2 == 0 {
 			first = append(first, recipient)
 		} else {
@@ -65,20 +65,21 @@
 	load := l.localLoad()
 	messages := map[recipientClass]*peerv1.Greeting{}
 	for _, recipient := range recipients {
-		class := recipientClass{recipient.OtherZone, recipient.Full}
+		class := recipientClass{recipient.OtherZone, strings.Join(recipient.FullZones, ",")}
 		if messages[class] == nil {
-			messages[class] = l.gossipMessage(now, class, load)
+			messages[class] = l.gossipMessage(now, recipient, load)
 		}
+		messages[class].Digests = messenger.EncodeDigests(l.gossiper.DigestsFor(now, recipient))
 		messages[class].Evidence = messenger.EncodeHealthReports(l.gossiper.HealthReportsFor(recipient))
 		l.controller.sendDatagram(recipient.Control, messages[class])
 	}
 }
 
 // recipientClass is a class of hosts that get the same gossip message at one time,
-// except for its health reports.
+// except for its digests and health reports.
 type recipientClass struct {
-	foreign bool // in other zones
-	full    bool // that need full heartbeats, not compact ones
+	foreign   bool   // in other zones
+	fullZones string // zones whose hosts they may lack
 }
 
 // announceChanges sends gossip messages to the hosts of this host's zone at once,
@@ -97,15 +98,14 @@
 	l.sendMessages(now, sameZone)
 }
 
-// gossipMessage returns the message for a class of recipients, without health
-// reports.
-func (l *loop) gossipMessage(now time.Duration, class recipientClass, load gossiper.Load) *peerv1.Greeting {
+// gossipMessage returns the message for the class of a recipient, without digests
+// and health reports.
+func (l *loop) gossipMessage(now time.Duration, recipient gossiper.Recipient, load gossiper.Load) *peerv1.Greeting {
 	m := &peerv1.Greeting{
-		Digest:    l.gossiper.Digest(now),
 		Watching:  l.watching,
 		StoreLost: l.storeOutage(now),
 		Blind:     l.storeUnreachable(),
-		Records:   messenger.EncodeLoadRecords(l.gossiper.LoadRecords(now, load, class.foreign)),
+		Records:   messenger.EncodeLoadRecords(l.gossiper.LoadRecords(now, load, recipient.OtherZone)),
 	}
 	if since := now - l.outageAt; l.outageAt > 0 && since < outageRetention {
 		m.LostBefore = uint32(since.Milliseconds()) + 1
@@ -119,32 +119,12 @@
 	}
 	heartbeats := l.tracker.Heartbeats(now)
 	m.Sender = heartbeats[0].ID.Incarnation
-	if !class.full && (class.foreign || !l.gossiper.IsRelay(now)) {
-		heartbeats = l.ownZoneHeartbeats(heartbeats) // the zone's relays send heartbeats of other zones within it
-	}
-	if class.full {
-		m.Beats = messenger.EncodeHeartbeats(heartbeats)
-		return m
-	}
-	compact := make([]tracker.CompactHeartbeat, 0, len(heartbeats))
-	for _, b := range heartbeats {
-		compact = append(compact, tracker.CompactHeartbeat{Incarnation: b.ID.Incarnation, Counter: b.Counter, State: b.State})
-	}
+	full, compact := l.gossiper.HeartbeatsFor(now, heartbeats, recipient)
+	m.Beats = messenger.EncodeHeartbeats(full)
 	m.Pulses = messenger.EncodeCompactHeartbeats(compact)
 	return m
 }
 
-// ownZoneHeartbeats returns the heartbeats of hosts in this host's zone.
-func (l *loop) ownZoneHeartbeats(heartbeats []tracker.Heartbeat) []tracker.Heartbeat {
-	var own []tracker.Heartbeat
-	for _, b := range heartbeats {
-		if b.Zone == l.controller.settings.Zone {
-			own = append(own, b)
-		}
-	}
-	return own
-}
-
 // sendDatagram sends a gossip message to the peer port of the host with the
 // given control address. Delivery is not guaranteed.
 func (c *Controller) sendDatagram(control string, m *peerv1.Greeting) {
@@ -188,7 +168,7 @@
 type gossipReceived struct{ *peerv1.Greeting }
 
 func (m *gossipReceived) apply(l *loop, now time.Duration) {
-	liveBefore := len(l.tracker.Live(now))
+	liveBefore := l.tracker.LiveCount(now)
 	l.tracker.Apply(now, messenger.DecodeHeartbeats(m.GetBeats())...)
 	l.tracker.ApplyCompact(now, messenger.DecodeCompactHeartbeats(m.GetPulses()))
 	if l.tracker.Superseded() {
@@ -202,7 +182,7 @@
 	if !known {
 		return // the digest of this host's next message makes the sender send full heartbeats
 	}
-	l.gossiper.Apply(now, host.ID.Name, host.Zone, m.GetDigest(), messenger.DecodeLoadRecords(m.GetRecords()))
+	l.gossiper.Apply(now, host.ID.Name, host.Zone, messenger.DecodeDigests(m.GetDigests()), messenger.DecodeLoadRecords(m.GetRecords()))
 	l.gossiper.SetStoreUnreachable(host.ID.Name, m.GetBlind())
 	l.applyHealthReports(now, host.Zone, messenger.DecodeHealthReports(m.GetEvidence()))
 	for i, revision := range m.GetPositions() {
@@ -220,7 +200,7 @@
 	if m.GetWatching() && host.Zone == l.controller.settings.Zone {
 		l.watcherSeen(now, m.GetStoreLost())
 	}
-	if liveNow := len(l.tracker.Live(now)); liveNow != liveBefore {
+	if liveNow := l.tracker.LiveCount(now); liveNow != liveBefore {
 		klog.InfoS("number of live hosts changed", "hosts", liveNow, "sender", host.ID.Name)
 		l.applyPeerState(now)
 	}
--- a/internal/controller/stop.go
+++ b/internal/controller/stop.go
@@ -42,7 +42,7 @@
 	l.tracker.SetState(tracker.Gone)
 	recipients := l.gossiper.Recipients(now)
 	for i := range recipients {
-		recipients[i].Full = true
+		recipients[i].FullZones = []string{l.controller.settings.Zone}
 	}
 	l.sendMessages(now, recipients)
 	close(m.done)
--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -86,6 +86,24 @@
 	return heartbeats
 }
 
+// EncodeDigests converts membership digests to their wire type.
+func EncodeDigests(digests gossiper.Digests) []*peerv1.ZoneDigest {
+	wire := make([]*peerv1.ZoneDigest, 0, len(digests))
+	for zone, digest := range digests {
+		wire = append(wire, &peerv1.ZoneDigest{Zone: zone, Digest: digest})
+	}
+	return wire
+}
+
+// DecodeDigests converts membership digests from their wire type.
+func DecodeDigests(wire []*peerv1.ZoneDigest) gossiper.Digests {
+	digests := make(gossiper.Digests, len(wire))
+	for _, d := range wire {
+		digests[d.GetZone()] = d.GetDigest()
+	}
+	return digests
+}
+
 // EncodeHead converts a configuration head to its wire type.
 func EncodeHead(h activator.Head) *peerv1.Head {
 	return &peerv1.Head{Generation: h.Generation, ChangeId: h.ChangeID, Author: h.Author, Files: h.Files}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -2,8 +2,11 @@
 // that hosts report: demand and requests in flight. Every host sends gossip to
 // all hosts of its availability zone. Two hosts of each zone, the relays, are
 // elected by rendezvous hashing; they also send gossip to the relays of each
-// other zone and forward what they receive. The package does no I/O and is not
-// safe for concurrent use.
+// other zone and forward what they receive. The first relay sends to the first
+// relay of each zone and the second to the second, those of other regions in
+// alternate rounds, so that the messages between two zones do not depend on the
+// number of their hosts. The package does no I/O and is not safe for concurrent
+// use.
 package gossiper
 
 import (
@@ -35,11 +38,12 @@
 // Recipient holds the address of a host to send gossip to, and what the message
 // contains.
 type Recipient struct {
-	Control           string // control address, host:port
-	Name              string // host name; "" for a seed, whose name is unknown
-	OtherZone         bool   // in another zone, or a seed
-	Full              bool   // send complete heartbeats: the recipient may lack some hosts
-	WithHealthReports bool   // send health reports; in another zone to one host only, which forwards them
+	Control           string   // control address, host:port
+	Name              string   // host name; "" for a seed, whose name is unknown
+	Zone              string   // availability zone; "" for a seed
+	OtherZone         bool     // in another zone, or a seed
+	FullZones         []string // zones whose hosts the recipient may lack: their heartbeats are sent complete; sorted
+	WithHealthReports bool     // send health reports; in another zone to one host only, which forwards them
 }
 
 // Load holds the demand and the requests in flight of one or more hosts. Names
@@ -78,25 +82,42 @@
 type Gossiper struct {
 	self             string
 	zone             string
+	regions          map[string]string // region of each availability zone
 	tracker          *tracker.Tracker
 	registered       map[string]RegisteredHost
 	seeds            []string
-	digests          map[string]uint32 // last membership digest received from a host, by host name
+	digests          map[string]Digests       // last digests received from a host, by host name; only hosts that the tracker knows
+	isolated         map[string]time.Duration // when a host of another zone that knew no other host last sent gossip, by host name
 	records          map[string]storedRecord
+	rounds           int // rounds started
 	round            healthRound
 	storeUnreachable map[string]bool // hosts that cannot reach the store, by name
 }
 
+// Option sets one property of a gossiper.
+type Option func(*Gossiper)
+
+// WithRegions sets the region of each availability zone. Without it all zones
+// belong to one region.
+func WithRegions(regions map[string]string) Option {
+	return func(g *Gossiper) { g.regions = regions }
+}
+
 // New returns the gossip state of a host without registered hosts.
-func New(self, zone string, t *tracker.Tracker, seeds []string) *Gossiper {
-	return &Gossiper{
+func New(self, zone string, t *tracker.Tracker, seeds []string, options ...Option) *Gossiper {
+	g := &Gossiper{
 		self: self, zone: zone, tracker: t, seeds: seeds,
 		registered:       map[string]RegisteredHost{},
-		digests:          map[string]uint32{},
+		digests:          map[string]Digests{},
+		isolated:         map[string]time.Duration{},
 		records:          map[string]storedRecord{},
 		round:            newHealthRound(),
 		storeUnreachable: map[string]bool{},
 	}
+	for _, option := range options {
+		option(g)
+	}
+	return g
 }
 
 // SetSeeds replaces the control addresses that gossip is sent to while there is no
@@ -111,11 +132,11 @@
 	}
 }
 
-// Apply stores the membership digest and the load records of a gossip message
+// Apply stores the membership digests and the load records of a gossip message
 // from a host of a zone. Records of the own host and zone are ignored, and so are
 // forwarded records while one received directly has not expired.
-func (g *Gossiper) Apply(now time.Duration, from, zone string, digest uint32, records []LoadRecord) {
-	g.digests[from] = digest
+func (g *Gossiper) Apply(now time.Duration, from, zone string, digests Digests, records []LoadRecord) {
+	g.applyDigests(now, from, zone, digests)
 	for _, r := range records {
 		if r.Scope == hostScope(g.self) || r.Scope == zoneScope(g.zone) {
 			continue
@@ -129,70 +150,6 @@
 	}
 }
 
-// otherHosts returns all other hosts by zone. In each zone, hosts whose heartbeats
-// were received come before those that are only registered.
-func (g *Gossiper) otherHosts(now time.Duration) map[string][]tracker.Host {
-	hosts := g.tracker.Known(now)
-	seen := map[string]bool{g.self: true}
-	byZone := map[string][]tracker.Host{}
-	for _, host := range hosts {
-		seen[host.ID.Name] = true
-		byZone[host.Zone] = append(byZone[host.Zone], host)
-	}
-	for _, host := range g.registered {
-		if seen[host.Name] {
-			continue
-		}
-		heartbeat := tracker.Heartbeat{ID: tracker.HostID{Name: host.Name}, Zone: host.Zone, Control: host.Control, Data: host.Data}
-		byZone[host.Zone] = append(byZone[host.Zone], tracker.Host{Heartbeat: heartbeat, HeartbeatAge: now})
-	}
-	return byZone
-}
-
-// Digest returns a hash of the live incarnations, to compare membership views.
-func (g *Gossiper) Digest(now time.Duration) uint32 { return uint32(g.tracker.Digest(now)) }
-
-// Recipients returns the hosts to send gossip to now, ordered by address. The seeds
-// are included while there is no other recipient or no other live host.
-func (g *Gossiper) Recipients(now time.Duration) []Recipient {
-	byZone := g.otherHosts(now)
-	digest := g.Digest(now)
-	var recipients []Recipient
-	for _, host := range byZone[g.zone] {
-		recipient := g.newRecipient(host, digest, false)
-		recipient.WithHealthReports = true
-		recipients = append(recipients, recipient)
-	}
-	if g.IsRelay(now) {
-		for zone, hosts := range byZone {
-			if zone == g.zone {
-				continue
-			}
-			for i, host := range g.relays(now, hosts) {
-				recipient := g.newRecipient(host, digest, true)
-				recipient.WithHealthReports = i == 0
-				recipients = append(recipients, recipient)
-			}
-		}
-	}
-	if len(recipients) == 0 || len(g.tracker.Live(now)) == 1 {
-		for _, seed := range g.seeds {
-			recipients = append(recipients, Recipient{Control: seed, OtherZone: true, Full: true})
-		}
-	}
-	sort.Slice(recipients, func(i, j int) bool { return recipients[i].Control < recipients[j].Control })
-	return recipients
-}
-
-func (g *Gossiper) newRecipient(host tracker.Host, digest uint32, otherZone bool) Recipient {
-	received, ok := g.digests[host.ID.Name]
-	return Recipient{Control: host.Control, Name: host.ID.Name, OtherZone: otherZone, Full: !ok || received != digest}
-}
-
-// IsRelay reports whether this host is a relay, which exchanges gossip with other
-// zones.
-func (g *Gossiper) IsRelay(now time.Duration) bool { return g.elected(now, relaysPerZone) }
-
 // WatchesStore reports whether this host watches the store for its zone. It is the
 // first of the candidates that can reach the store, or the first of all when
 // none can.
@@ -215,6 +172,7 @@
 	}
 }
 
+// elected reports whether this host is among the first n of its zone.
 func (g *Gossiper) elected(now time.Duration, n int) bool {
 	return tracker.Elected(zoneRole, g.liveInZone(now), g.self, n)
 }
@@ -229,26 +187,6 @@
 	return own
 }
 
-// relays returns the relays of another zone, elected from its live hosts, or from
-// all of its hosts when none is live.
-func (g *Gossiper) relays(now time.Duration, hosts []tracker.Host) []tracker.Host {
-	live := map[string]bool{}
-	for _, host := range g.tracker.Live(now) {
-		live[host.ID.Name] = true
-	}
-	var candidates []tracker.Host
-	for _, host := range hosts {
-		if live[host.ID.Name] {
-			candidates = append(candidates, host)
-		}
-	}
-	if len(candidates) == 0 {
-		candidates = hosts
-	}
-	ranked := tracker.Rank(zoneRole, candidates)
-	return ranked[:min(relaysPerZone, len(ranked))]
-}
-
 // LoadRecords returns the load records to send. Other zones get the sum of the own
 // zone. Hosts of the own zone get the load of this host. If it is a relay, they
 // also get the demand and services of each other zone, and one record with the
@@ -284,25 +222,33 @@
 }
 
 // OtherLoad returns the summed load of all other hosts and zones, without expired
-// records, which it deletes. The record of all other zones together counts only
-// when there is none directly from another zone.
+// records, which it deletes. On a relay the requests in flight in other zones are
+// those that the zones reported directly; the other hosts use the sum that a relay
+// sent, if there is one.
 func (g *Gossiper) OtherLoad(now time.Duration) Load {
-	sum, otherZones := newLoad(), Load{}
-	direct := false
+	sum, direct := newLoad(), newLoad()
+	otherZones, summed := g.records[otherZonesScope]
+	directZones := 0
 	for scope, stored := range g.records {
 		switch {
 		case now-stored.receivedAt >= recordTTL:
 			delete(g.records, scope)
+			summed = summed && scope != otherZonesScope
 		case scope == otherZonesScope:
-			otherZones = stored.record.Load
+		case strings.HasPrefix(scope, zoneScopePrefix):
+			sum.add(Load{Demands: stored.record.Demands, Services: stored.record.Services})
+			direct.add(Load{Running: stored.record.Running})
+			if stored.direct {
+				directZones++
+			}
 		default:
-			direct = direct || strings.HasPrefix(scope, zoneScopePrefix) && stored.direct
 			sum.add(stored.record.Load)
 		}
 	}
-	if !direct {
-		sum.add(otherZones)
+	if summed && (directZones == 0 || !g.IsRelay(now)) {
+		direct = otherZones.record.Load
 	}
+	sum.add(Load{Running: direct.Running})
 	return sum
 }
 
--- a/pkg/gossiper/health.go
+++ b/pkg/gossiper/health.go
@@ -18,15 +18,17 @@
 	fromZone, fromOtherZones HealthReports   // received since the last round
 	toZone, toOtherZones     HealthReports   // to be sent in this round
 	sent                     map[string]bool // addresses that the reports of this round were sent to
+	deferred                 HealthReports   // for other zones, to be sent in the next round
 }
 
 func newHealthRound() healthRound {
-	return healthRound{fromZone: HealthReports{}, fromOtherZones: HealthReports{}, sent: map[string]bool{}}
+	return healthRound{fromZone: HealthReports{}, fromOtherZones: HealthReports{}, sent: map[string]bool{}, deferred: HealthReports{}}
 }
 
 // StartRound starts a gossip round with the health reports of this host's own
 // attempts and, on the first relay, the reports to forward. Other zones get only
-// the reports of impaired backend servers.
+// the reports of impaired backend servers, in the rounds in which the first relay
+// sends to all of them.
 func (g *Gossiper) StartRound(now time.Duration, own HealthReports) {
 	toZone, toOtherZones := HealthReports{}, HealthReports{}
 	toZone.add(own)
@@ -35,9 +37,17 @@
 		toOtherZones.add(own)
 		toOtherZones.add(g.round.fromZone)
 	}
+	toOtherZones.add(g.round.deferred)
 	g.round = newHealthRound()
+	g.rounds++
+	g.forgetUnknown(now)
 	g.round.toZone = toZone.mostAttempted(func(placer.HealthReport) bool { return true })
-	g.round.toOtherZones = toOtherZones.mostAttempted(func(e placer.HealthReport) bool { return e.Impaired })
+	impaired := toOtherZones.mostAttempted(func(e placer.HealthReport) bool { return e.Impaired })
+	if g.rounds%relaysPerZone == 0 {
+		g.round.toOtherZones = impaired
+	} else {
+		g.round.deferred = impaired
+	}
 }
 
 // ApplyHealthReports adds the health reports that a host of a zone sent.
--- /dev/null
+++ b/pkg/gossiper/recipients.go
@@ -0,0 +1,167 @@
+package gossiper
+
+import (
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	"magnoliahill.example/magnoliahill/pkg/tracker"
+)
+
+// otherHosts returns all other hosts by zone. In each zone, hosts whose heartbeats
+// were received come before those that are only registered.
+func (g *Gossiper) otherHosts(now time.Duration) map[string][]tracker.Host {
+	hosts := g.tracker.Known(now)
+	seen := map[string]bool{g.self: true}
+	byZone := map[string][]tracker.Host{}
+	for _, host := range hosts {
+		seen[host.ID.Name] = true
+		byZone[host.Zone] = append(byZone[host.Zone], host)
+	}
+	for _, host := range g.registered {
+		if seen[host.Name] {
+			continue
+		}
+		heartbeat := tracker.Heartbeat{ID: tracker.HostID{Name: host.Name}, Zone: host.Zone, Control: host.Control, Data: host.Data}
+		byZone[host.Zone] = append(byZone[host.Zone], tracker.Host{Heartbeat: heartbeat, HeartbeatAge: now})
+	}
+	return byZone
+}
+
+// Recipients returns the hosts to send gossip to when the state of this host has
+// changed, ordered by address. The seeds are included while there is no other
+// recipient or no other live host.
+func (g *Gossiper) Recipients(now time.Duration) []Recipient { return g.recipients(now, false) }
+
+// RoundRecipients returns the hosts to send gossip to in the present round,
+// ordered by address: those of Recipients whose turn it is.
+func (g *Gossiper) RoundRecipients(now time.Duration) []Recipient { return g.recipients(now, true) }
+
+func (g *Gossiper) recipients(now time.Duration, dueOnly bool) []Recipient {
+	byZone := g.otherHosts(now)
+	digests := g.tracker.ZoneDigests(now)
+	live := g.liveNames(now)
+	role := g.relayRole(now)
+	recipients := g.zoneRecipients(byZone[g.zone], digests, role)
+	for zone, hosts := range byZone {
+		if zone == g.zone || role.rank < 0 || dueOnly && !g.due(zone, role) {
+			continue
+		}
+		relays := relaysAmong(hosts, live)
+		index := role.partner(g.rounds) % len(relays)
+		recipient := g.otherZoneRecipient(relays[index], digests)
+		recipient.WithHealthReports = index == 0 && role.rank == 0
+		recipients = append(recipients, recipient)
+	}
+	recipients = append(recipients, g.isolatedRecipients(byZone, digests)...)
+	if len(recipients) == 0 || len(live) == 1 {
+		for _, seed := range g.seeds {
+			recipients = append(recipients, Recipient{Control: seed, OtherZone: true, FullZones: []string{g.zone}})
+		}
+	}
+	sort.Slice(recipients, func(i, j int) bool { return recipients[i].Control < recipients[j].Control })
+	return recipients
+}
+
+// zoneRecipients returns the other hosts of this host's zone. A relay also tells
+// them which hosts other zones have.
+func (g *Gossiper) zoneRecipients(hosts []tracker.Host, digests map[string]uint32, role relayRole) []Recipient {
+	zones := []string{g.zone}
+	if role.rank >= 0 {
+		zones = slices.Sorted(maps.Keys(digests))
+	}
+	recipients := make([]Recipient, 0, len(hosts))
+	for _, host := range hosts {
+		recipients = append(recipients, Recipient{
+			Control: host.Control, Name: host.ID.Name, Zone: g.zone, WithHealthReports: true,
+			FullZones: g.differing(host.ID.Name, zones, digests),
+		})
+	}
+	return recipients
+}
+
+func (g *Gossiper) otherZoneRecipient(host tracker.Host, digests map[string]uint32) Recipient {
+	return Recipient{
+		Control: host.Control, Name: host.ID.Name, Zone: host.Zone, OtherZone: true,
+		FullZones: g.differing(host.ID.Name, []string{g.zone}, digests),
+	}
+}
+
+// isolatedRecipients returns the isolated hosts of other zones, which get the
+// complete heartbeats of their own zone.
+func (g *Gossiper) isolatedRecipients(byZone map[string][]tracker.Host, digests map[string]uint32) []Recipient {
+	var recipients []Recipient
+	for zone, hosts := range byZone {
+		for _, host := range hosts {
+			if _, ok := g.isolated[host.ID.Name]; !ok || zone == g.zone {
+				continue
+			}
+			recipient := g.otherZoneRecipient(host, digests)
+			recipient.FullZones = []string{g.zone, zone}
+			slices.Sort(recipient.FullZones)
+			recipients = append(recipients, recipient)
+		}
+	}
+	return recipients
+}
+
+// relayRole is a host's place among the relays of its zone.
+type relayRole struct {
+	rank  int // 0 is the first relay; negative if the host is not a relay
+	count int // relays of the zone; at least 1
+}
+
+// partner returns the index of the relay of each other zone that the host sends
+// gossip to in a round. A zone with a single relay reaches all of them by turns.
+func (r relayRole) partner(round int) int {
+	if r.count == 1 {
+		return round % relaysPerZone
+	}
+	return r.rank
+}
+
+// due reports whether a relay sends gossip to another zone in the present round.
+// To other regions the relays send by turns.
+func (g *Gossiper) due(zone string, role relayRole) bool {
+	return g.regions[zone] == g.regions[g.zone] || g.rounds%role.count == role.rank
+}
+
+func (g *Gossiper) relayRole(now time.Duration) relayRole {
+	ranked := tracker.Rank(zoneRole, g.liveInZone(now))
+	role := relayRole{rank: -1, count: min(relaysPerZone, len(ranked))}
+	for i, host := range ranked[:role.count] {
+		if host.ID.Name == g.self {
+			role.rank = i
+		}
+	}
+	return role
+}
+
+// IsRelay reports whether this host is a relay, which exchanges gossip with other
+// zones.
+func (g *Gossiper) IsRelay(now time.Duration) bool { return g.elected(now, relaysPerZone) }
+
+func (g *Gossiper) liveNames(now time.Duration) map[string]bool {
+	live := map[string]bool{}
+	for _, host := range g.tracker.Live(now) {
+		live[host.ID.Name] = true
+	}
+	return live
+}
+
+// relaysAmong returns the relays of another zone, elected from its live hosts, or
+// from all of its hosts when none is live.
+func relaysAmong(hosts []tracker.Host, live map[string]bool) []tracker.Host {
+	var candidates []tracker.Host
+	for _, host := range hosts {
+		if live[host.ID.Name] {
+			candidates = append(candidates, host)
+		}
+	}
+	if len(candidates) == 0 {
+		candidates = hosts
+	}
+	ranked := tracker.Rank(zoneRole, candidates)
+	return ranked[:min(relaysPerZone, len(ranked))]
+}
--- a/pkg/tracker/compact.go
+++ b/pkg/tracker/compact.go
@@ -14,14 +14,31 @@
 // the same ones and almost never equal on others.
 func (t *Tracker) Digest(now time.Duration) uint64 {
 	digest := t.self.ID.Incarnation
-	for _, host := range t.Known(now) {
-		if host.HeartbeatAge < t.timeout {
-			digest ^= host.ID.Incarnation
+	for _, e := range t.entries {
+		if t.live(now, e) {
+			digest ^= e.heartbeat.ID.Incarnation
 		}
 	}
 	return digest
 }
 
+// ZoneDigests returns a hash of the live incarnations of each availability zone,
+// own host included. Zones without a live host are left out.
+func (t *Tracker) ZoneDigests(now time.Duration) map[string]uint32 {
+	digests := map[string]uint32{t.self.Zone: fold(t.self.ID.Incarnation)}
+	for _, e := range t.entries {
+		if t.live(now, e) {
+			digests[e.heartbeat.Zone] ^= fold(e.heartbeat.ID.Incarnation)
+		}
+	}
+	return digests
+}
+
+// fold returns a 32-bit hash of an incarnation.
+func fold(incarnation uint64) uint32 {
+	return uint32(incarnation) ^ uint32(incarnation>>32)
+}
+
 // CompactHeartbeats returns compact heartbeats of the own host and of all other
 // live hosts, to be relayed.
 func (t *Tracker) CompactHeartbeats(now time.Duration) []CompactHeartbeat {
@@ -36,12 +53,8 @@
 // ApplyCompact merges compact heartbeats, in any order and any number of times.
 // Those of unknown incarnations are ignored.
 func (t *Tracker) ApplyCompact(now time.Duration, heartbeats []CompactHeartbeat) {
-	byIncarnation := make(map[uint64]*entry, len(t.entries))
-	for _, e := range t.entries {
-		byIncarnation[e.heartbeat.ID.Incarnation] = e
-	}
 	for _, update := range heartbeats {
-		e := byIncarnation[update.Incarnation]
+		e := t.byIncarnation[update.Incarnation]
 		if e == nil || update.Counter <= e.heartbeat.Counter {
 			continue
 		}
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -13,8 +13,10 @@
 	self             Heartbeat
 	timeout          time.Duration // without a new heartbeat for this long, a host is not live
 	entries          map[string]*entry
-	dead             map[HostID]bool // incarnations that have certainly ended or given up what they held
-	laterIncarnation uint64          // highest incarnation of the own host above its current one, or 0
+	byIncarnation    map[uint64]*entry // the same entries
+	sorted           []*entry          // the same entries, ordered by name; nil when it must be rebuilt
+	dead             map[HostID]bool   // incarnations that have certainly ended or given up what they held
+	laterIncarnation uint64            // highest incarnation of the own host above its current one, or 0
 }
 
 // Option sets one property of a tracker.
@@ -29,10 +31,11 @@
 // New returns a tracker that contains only its own host.
 func New(self Heartbeat, options ...Option) *Tracker {
 	t := &Tracker{
-		self:    self,
-		timeout: defaultTimeout,
-		entries: map[string]*entry{},
-		dead:    map[HostID]bool{},
+		self:          self,
+		timeout:       defaultTimeout,
+		entries:       map[string]*entry{},
+		byIncarnation: map[uint64]*entry{},
+		dead:          map[HostID]bool{},
 	}
 	for _, option := range options {
 		option(t)
@@ -88,7 +91,10 @@
 func (t *Tracker) applyOne(now time.Duration, heartbeat Heartbeat) {
 	known := t.entries[heartbeat.ID.Name]
 	if known == nil || heartbeat.ID.Incarnation > known.heartbeat.ID.Incarnation {
-		t.entries[heartbeat.ID.Name] = &entry{heartbeat: heartbeat, updatedAt: now}
+		t.remove(known)
+		added := &entry{heartbeat: heartbeat, updatedAt: now}
+		t.entries[heartbeat.ID.Name] = added
+		t.byIncarnation[heartbeat.ID.Incarnation] = added
 		return
 	}
 	if heartbeat.ID != known.heartbeat.ID || heartbeat.Counter <= known.heartbeat.Counter {
@@ -103,10 +109,34 @@
 func (t *Tracker) MarkDead(id HostID) {
 	t.dead[id] = true
 	if known := t.entries[id.Name]; known != nil && known.heartbeat.ID == id {
-		delete(t.entries, id.Name)
+		t.remove(known)
 	}
 }
 
+// remove removes an entry, or does nothing if it is nil.
+func (t *Tracker) remove(e *entry) {
+	t.sorted = nil
+	if e != nil {
+		delete(t.entries, e.heartbeat.ID.Name)
+		delete(t.byIncarnation, e.heartbeat.ID.Incarnation)
+	}
+}
+
+// byName returns all entries ordered by name.
+func (t *Tracker) byName() []*entry {
+	if t.sorted == nil {
+		t.sorted = make([]*entry, 0, len(t.entries))
+		for _, e := range t.entries {
+			t.sorted = append(t.sorted, e)
+		}
+		sort.Slice(t.sorted, func(i, j int) bool { return t.sorted[i].heartbeat.ID.Name < t.sorted[j].heartbeat.ID.Name })
+	}
+	return t.sorted
+}
+
+// live reports whether the latest heartbeat of a host is recent.
+func (t *Tracker) live(now time.Duration, e *entry) bool { return now-e.updatedAt < t.timeout }
+
 // IsDead reports whether an incarnation has provably ended or given up everything
 // it held.
 func (t *Tracker) IsDead(id HostID) bool { return t.dead[id] }
@@ -115,33 +145,51 @@
 // name.
 func (t *Tracker) Known(now time.Duration) []Host {
 	hosts := make([]Host, 0, len(t.entries))
-	for _, e := range t.entries {
+	for _, e := range t.byName() {
 		hosts = append(hosts, Host{Heartbeat: e.heartbeat, HeartbeatAge: now - e.updatedAt})
 	}
-	sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID.Name < hosts[j].ID.Name })
 	return hosts
 }
 
 // Live returns the hosts with a recent heartbeat, ordered by name. It includes the
 // own host and leaving hosts.
 func (t *Tracker) Live(now time.Duration) []Host {
-	live := []Host{{Heartbeat: t.self}}
-	for _, host := range t.Known(now) {
-		if host.HeartbeatAge < t.timeout {
-			live = append(live, host)
+	live := make([]Host, 0, len(t.entries)+1)
+	self := Host{Heartbeat: t.self}
+	selfAdded := false
+	for _, e := range t.byName() {
+		if !selfAdded && t.self.ID.Name < e.heartbeat.ID.Name {
+			live, selfAdded = append(live, self), true
+		}
+		if t.live(now, e) {
+			live = append(live, Host{Heartbeat: e.heartbeat, HeartbeatAge: now - e.updatedAt})
 		}
 	}
-	sort.Slice(live, func(i, j int) bool { return live[i].ID.Name < live[j].ID.Name })
+	if !selfAdded {
+		live = append(live, self)
+	}
 	return live
 }
 
+// LiveCount returns the number of hosts that Live returns.
+func (t *Tracker) LiveCount(now time.Duration) int {
+	count := 1
+	for _, e := range t.entries {
+		if t.live(now, e) {
+			count++
+		}
+	}
+	return count
+}
+
 // Heartbeats returns the next heartbeat of the own host and the latest ones of all
 // other live hosts, to be relayed.
 func (t *Tracker) Heartbeats(now time.Duration) []Heartbeat {
-	heartbeats := []Heartbeat{t.NextHeartbeat()}
-	for _, host := range t.Known(now) {
-		if host.HeartbeatAge < t.timeout {
-			heartbeats = append(heartbeats, host.Heartbeat)
+	heartbeats := make([]Heartbeat, 0, len(t.entries)+1)
+	heartbeats = append(heartbeats, t.NextHeartbeat())
+	for _, e := range t.byName() {
+		if t.live(now, e) {
+			heartbeats = append(heartbeats, e.heartbeat)
 		}
 	}
 	return heartbeats
@@ -160,12 +208,11 @@
 // FindIncarnation returns the latest heartbeat of an incarnation without the
 // host's name.
 func (t *Tracker) FindIncarnation(now time.Duration, incarnation uint64) (Host, bool) {
-	for _, e := range t.entries {
-		if e.heartbeat.ID.Incarnation == incarnation {
-			return Host{Heartbeat: e.heartbeat, HeartbeatAge: now - e.updatedAt}, true
-		}
+	e := t.byIncarnation[incarnation]
+	if e == nil {
+		return Host{}, false
 	}
-	return Host{}, false
+	return Host{Heartbeat: e.heartbeat, HeartbeatAge: now - e.updatedAt}, true
 }
 
 // Replaced reports whether a later incarnation of a host listens on the same
