--- a/internal/charger/charger.go
+++ b/internal/charger/charger.go
@@ -93,14 +93,16 @@
 	if c.unavailable(now, owner.Control) {
 		return c.shares.TakeFallback(now, limit)
 	}
-	ctx, cancel := context.WithTimeout(ctx, chargeTimeout)
+	chargeCtx, cancel := context.WithTimeout(ctx, chargeTimeout)
 	defer cancel()
-	allowed, wait, err := c.client.Charge(ctx, owner.Control, limit)
-	if err != nil {
+	allowed, wait, err := c.client.Charge(chargeCtx, owner.Control, limit)
+	if err == nil {
+		return allowed, wait
+	}
+	if ctx.Err() == nil { // otherwise the caller went away, which says nothing about the owner
 		c.markUnavailable(now, owner.Control)
-		return c.shares.TakeFallback(now, limit)
 	}
-	return allowed, wait
+	return c.shares.TakeFallback(now, limit)
 }
 
 // Refund returns the charge of a request that was not sent. Charges to a pooled
--- a/internal/charger/charger_test.go
+++ b/internal/charger/charger_test.go
@@ -21,8 +21,11 @@
 	charges int
 }
 
-func (z *zone) Charge(_ context.Context, control, limit string) (bool, time.Duration, error) {
+func (z *zone) Charge(ctx context.Context, control, limit string) (bool, time.Duration, error) {
 	z.charges++
+	if ctx.Err() != nil {
+		return false, 0, ctx.Err()
+	}
 	if z.cutOff[control] {
 		return false, 0, errors.New("cut off")
 	}
@@ -94,3 +97,20 @@
 	is.True(admitted >= 8) // at the owner itself and one at each other host
 	is.True(admitted <= 10+8)
 }
+
+// A caller that goes away while its request is charged does not make the owner of
+// the limit count as unavailable.
+func TestCallerThatLeavesDoesNotMakeTheOwnerUnavailable(t *testing.T) {
+	is := is.New(t)
+	z, chargers := newZone(8)
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, c := range chargers {
+		c.Take(gone, time.Minute, "small")
+	}
+	before := z.charges
+	for _, c := range chargers {
+		c.Take(t.Context(), time.Minute, "small")
+	}
+	is.Equal(z.charges, before+7) // the hosts that are not the owner ask it again
+}
--- /dev/null
+++ b/internal/controller/discovery_test.go
@@ -0,0 +1,103 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"magnoliahill.example/magnoliahill/internal/loader"
+	"magnoliahill.example/magnoliahill/internal/storer"
+	"magnoliahill.example/magnoliahill/pkg/header"
+)
+
+// idlePlatform is a platform whose store is empty and never changes.
+type idlePlatform struct{ Platform }
+
+func (idlePlatform) Kinds() Kinds {
+	return Kinds{Config: "config", Servers: "servers", Evacuations: "evacuations", Hosts: "hosts"}
+}
+
+func (idlePlatform) HeaderNames() header.Names { return header.Names{} }
+
+func (idlePlatform) List(context.Context, string) (storer.ItemList, error) {
+	return storer.NewItemList(nil, 1), nil
+}
+
+func (idlePlatform) Watch(ctx context.Context, _ string, after int64, _ time.Duration) (storer.ItemList, error) {
+	<-ctx.Done()
+	return storer.NewItemList(nil, after), ctx.Err()
+}
+
+func (idlePlatform) EncodeLookup([]string, time.Duration) ([]byte, error) { return nil, nil }
+
+// newTestLoop returns the loop of a host that is not running.
+func newTestLoop(t *testing.T, name string) *loop {
+	c := New(&loader.Deployment{Host: name, Zone: "z", Region: "r", Regions: map[string]string{"z": "r"}, ExpectedHosts: 1, MaxDescriptors: 100}, idlePlatform{})
+	udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = udp.Close() })
+	c.udp = udp
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	t.Cleanup(c.recorder.Close)
+	c.loop.workCtx = ctx
+	c.loop.discovering = true
+	c.loop.registrationSent = true
+	c.loop.stopWatches = func() {}
+	return c.loop
+}
+
+func registeredHosts(t *testing.T, names ...string) storer.ItemList {
+	var items []storer.Item
+	for i, name := range names {
+		content, err := json.Marshal(hostRegistration{Zone: "z", Control: "127.0.0.1:1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		items = append(items, storer.NewItem(name, int64(i+1), content))
+	}
+	return storer.NewItemList(items, int64(len(names)))
+}
+
+// When all hosts of a zone start together, only a few of them list the store. The
+// others do so when they hear of none that did.
+func TestFewHostsOfAZoneListTheStoreAtStart(t *testing.T) {
+	is := is.New(t)
+	var names []string
+	for i := range 20 {
+		names = append(names, fmt.Sprint("host-", i))
+	}
+	watching, watchingLater := 0, 0
+	for _, name := range names {
+		l := newTestLoop(t, name)
+		l.updateWatchRole(0)
+		is.True(!l.watching) // it does not know yet whether others will
+		(&hostsDiscovered{hosts: registeredHosts(t, names...)}).apply(l, 0)
+		l.updateWatchRole(watchStartDelay / 2)
+		if l.watching {
+			watching++
+		}
+		l.updateWatchRole(watchStartDelay)
+		if l.watching {
+			watchingLater++
+		}
+	}
+	is.Equal(watching, initialWatchers)
+	is.Equal(watchingLater, len(names))
+}
+
+// A host that cannot list the registered hosts keeps trying by itself.
+func TestHostWatchesWhenDiscoveryFails(t *testing.T) {
+	is := is.New(t)
+	l := newTestLoop(t, "host")
+	(&hostsDiscovered{err: errors.New("no answer")}).apply(l, 0)
+	is.True(l.watching)
+}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -42,6 +42,8 @@
 	kindOrder        []string      // the kinds, in the order of the positions in gossip messages
 	watching         bool          // this host watches the store
 	stopWatches      func()        // cancels the watches
+	discovering      bool          // the first list of registered hosts is being fetched
+	watchStartAt     time.Duration // a starting host does not watch the store before, while others of its zone do
 	watcherSeenAt    time.Duration // when a gossip message of another watching host of the zone last arrived
 	outageAt         time.Duration // when the store was last unreachable for more than this host; 0 if never
 	workCtx          context.Context
@@ -55,12 +57,13 @@
 	stopTimes        dispatcher.StopSchedule
 	registeredHosts  []gossiper.RegisteredHost // registered hosts except this one
 	hostCount        int                       // hosts that share the limits, this one included
+	hostNames        []string                  // their names, sorted; nil before they were first counted
 	zoneHostCount    int                       // those of them in this host's zone
 	gossipedAt       time.Duration
 	deferred         []gossiper.Recipient // recipients of gossip messages that the next tick sends
 	sweptAt          time.Duration
 	fetching         bool // objects are being fetched from another host
-	registrationSent bool // this host's registration was written, or is being written
+	registrationSent bool // this host's registration was written or is being written, and has not been seen since
 }
 
 // message is an input of the loop, which calls apply with the current time.
@@ -96,10 +99,14 @@
 	return l
 }
 
-// start starts the watches and the loop; both end with ctx.
+// start starts the loop, and the first list of registered hosts, which decides
+// whether this host starts to watch the store at once. Both end with ctx.
 func (l *loop) start(ctx context.Context) {
 	l.workCtx = ctx
-	l.startWatches()
+	l.discovering = true
+	l.registrationSent = l.controller.settings.FirstStart
+	l.stopWatches = func() {}
+	go l.discover(ctx)
 	go l.run(ctx)
 }
 
@@ -117,6 +124,9 @@
 // watcherTimeout. It stops the watches if neither holds and the caches are
 // complete. Hosts that do not watch get the objects from those that do.
 func (l *loop) updateWatchRole(now time.Duration) {
+	if l.discovering || now < l.watchStartAt {
+		return
+	}
 	l.gossiper.SetStoreUnreachable(l.controller.settings.Host, l.storeUnreachable())
 	elected := l.gossiper.WatchesStore(now) || now-l.watcherSeenAt >= watcherTimeout
 	switch {
--- a/internal/controller/registration.go
+++ b/internal/controller/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,8 +21,8 @@
 }
 
 // applyHosts applies the registered hosts, and registers this host if its own
-// registration is missing or out of date. After a successful write it does not
-// write again.
+// registration is missing or out of date. After a write it does not write again
+// until the registration was seen.
 func (l *loop) applyHosts(now time.Duration) {
 	var registered []gossiper.RegisteredHost
 	own := l.ownRegistration()
@@ -41,7 +42,9 @@
 	l.registeredHosts = registered
 	l.gossiper.SetRegisteredHosts(registered)
 	l.countHosts(now)
-	if !upToDate && !l.registrationSent {
+	if upToDate {
+		l.registrationSent = false
+	} else if !l.registrationSent {
 		l.registrationSent = true
 		go l.register(own)
 	}
@@ -111,9 +114,11 @@
 			l.zoneHostCount++
 		}
 	}
-	if len(names) == l.hostCount {
+	slices.Sort(names)
+	if slices.Equal(names, l.hostNames) {
 		return
 	}
+	l.hostNames = names
 	l.hostCount = len(names)
 	l.controller.placer.SetHosts(names)
 	l.controller.dispatcher.SetRetries(retryShare(l.controller.settings, l.hostCount))
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -18,7 +18,8 @@
 
 const (
 	listTimeout   = 1500 * time.Millisecond // a store that is sixty times slower than usual answers in 240 ms
-	maxWatch      = 25 * time.Second        // the platform ends a watch after 30 s
+	maxWatch      = 25 * time.Second        // longest watch; the platform accepts at most 30 s
+	maxMeanWatch  = maxWatch * 2 / 3        // so that jitter does not exceed the longest watch
 	watchPerHost  = time.Second             // so that some host renews its watch about every second
 	minWatch      = 3 * time.Second         // about the time in which a single host detects a stalled watch
 	watchMargin   = 1500 * time.Millisecond // for the network and a slow store
@@ -79,7 +80,7 @@
 // watch may stall without an error. The host that renews its watch first detects
 // this for all, so the more hosts there are, the longer each watch may last.
 func (f *Follower) SetWatcherCount(n int) {
-	f.watchDuration.Store(int64(min(max(time.Duration(n)*watchPerHost, minWatch), maxWatch)))
+	f.watchDuration.Store(int64(min(max(time.Duration(n)*watchPerHost, minWatch), maxMeanWatch)))
 }
 
 // Relist makes the follower end its watch and list again. It is called when the
@@ -165,8 +166,11 @@
 		}
 	}()
 	changed, err := f.source.Watch(ctx, f.kind, revision, duration)
-	if ctx.Err() != nil {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
 		return storer.ItemList{}, errWatchCanceled
+	case ctx.Err() != nil:
+		return storer.ItemList{}, errors.Errorf("no response within %s", duration+watchMargin)
 	}
 	return changed, err
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -20,7 +20,9 @@
 	stalled     bool  // open watches get no changes and are not ended
 	compactedTo int64 // the history up to this revision is gone
 	down        bool
+	silent      bool // watches get no response
 	calls       int
+	longest     time.Duration // longest watch that was requested
 	changed     chan struct{}
 }
 
@@ -61,10 +63,14 @@
 func (s *source) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (storer.ItemList, error) {
 	s.mu.Lock()
 	s.calls++
+	s.longest = max(s.longest, wait)
 	revision, changed := s.revision, s.changed
-	down, compacted := s.down, after < s.compactedTo
+	down, compacted, silent := s.down, after < s.compactedTo, s.silent
 	s.mu.Unlock()
 	switch {
+	case silent:
+		<-ctx.Done()
+		return storer.ItemList{}, ctx.Err()
 	case down:
 		return storer.ItemList{}, storer.ErrUnavailable
 	case compacted:
@@ -215,3 +221,38 @@
 		done.Wait()
 	})
 }
+
+// The platform accepts watches of 30 s at most.
+func TestWatchesStayWithinThePlatformsBound(t *testing.T) {
+	is := is.New(t)
+	runFollower(t, func(s *source, f *follower.Follower, _ *recorder) {
+		f.SetWatcherCount(1000)
+		time.Sleep(time.Hour)
+		s.set(func() {
+			is.True(s.longest > 20*time.Second)
+			is.True(s.longest <= 30*time.Second)
+		})
+	})
+}
+
+// A watch that gets no response shows that the store may be unreachable, so the
+// followers of other kinds list again, too.
+func TestSilentWatchRelistsOtherKinds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		silent, other, updates := newSource(), newSource(), &recorder{}
+		first, second := follower.New(silent, "short", updates.record), follower.New(other, "long", updates.record)
+		follower.Link(first, second)
+		second.SetWatcherCount(1000)
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		silent.set(func() { silent.silent = true })
+		for _, f := range []*follower.Follower{first, second} {
+			done.Go(func() { f.Run(ctx) })
+		}
+		time.Sleep(7 * time.Second)
+		other.set(func() { is.True(other.calls > 2) }) // a list and a watch at first, another list by now
+		cancel()
+		done.Wait()
+	})
+}
--- a/internal/loader/deployment.go
+++ b/internal/loader/deployment.go
@@ -17,6 +17,7 @@
 	PeerPort         int               // UDP port for datagrams between hosts; the same on all hosts
 	Seeds            []string          // control addresses of some hosts; may be outdated
 	StoreAddress     string            // host:port of the platform's store
+	FirstStart       bool              // all hosts of the deployment start for the first time
 	ExpectedHosts    int               // number of hosts to assume before any other is known; at least 1
 
 	MemoryMB       int // the platform ends a process that uses more
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -170,14 +170,11 @@
 		Rate:     int64(fraction * s.limit.Rate * float64(limiter.Unit)),
 		Capacity: max(int64(fraction*s.limit.Burst*float64(limiter.Unit)), limiter.Unit),
 	}
-	tokens := int64(initialFill * float64(amount.Capacity))
-	if s.bucket != nil {
-		if s.bucket.Amount() == amount {
-			return
-		}
-		tokens = s.bucket.Tokens(now)
+	if s.bucket == nil {
+		s.bucket = limiter.NewBucket(amount, int64(initialFill*float64(amount.Capacity)), now)
+	} else if s.bucket.Amount() != amount {
+		s.bucket = limiter.NewBucket(amount, s.bucket.Tokens(now), now)
 	}
-	s.bucket = limiter.NewBucket(amount, tokens, now)
 	fallback := limiter.Amount{
 		Rate:     int64(fallbackFraction * s.limit.Rate / float64(a.hosts) * float64(limiter.Unit)),
 		Capacity: limiter.Unit,
--- a/pkg/gossiper/recipients.go
+++ b/pkg/gossiper/recipients.go
@@ -142,6 +142,18 @@
 // zones.
 func (g *Gossiper) IsRelay(now time.Duration) bool { return g.elected(now, relaysPerZone) }
 
+// RegisteredRank returns the place of this host in the ranking of the registered
+// hosts of its zone, live or not; 0 is the first.
+func (g *Gossiper) RegisteredRank() int {
+	hosts := []tracker.Host{{Heartbeat: tracker.Heartbeat{ID: tracker.HostID{Name: g.self}}}}
+	for _, host := range g.registered {
+		if host.Zone == g.zone && host.Name != g.self {
+			hosts = append(hosts, tracker.Host{Heartbeat: tracker.Heartbeat{ID: tracker.HostID{Name: host.Name}}})
+		}
+	}
+	return slices.IndexFunc(tracker.Rank(zoneRole, hosts), func(h tracker.Host) bool { return h.ID.Name == g.self })
+}
+
 func (g *Gossiper) liveNames(now time.Duration) map[string]bool {
 	live := map[string]bool{}
 	for _, host := range g.tracker.Live(now) {
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -114,8 +114,10 @@
 		delete(r.entries, id)
 		return
 	}
+	if !e.missing || r.storeReachable { // during an outage, repeated reports of a removal do not delay it
+		e.dropAt = effectiveAt
+	}
 	e.missing = true
-	e.dropAt = effectiveAt
 }
 
 // removalEffectiveAt returns the time from which an instance without a
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -120,3 +120,16 @@
 	r.StoreReachableElsewhere(12*second, 13*second) // another host reached it again before this one
 	is.True(!r.LocalOutage(13 * second))
 }
+
+// A host that cannot reach the store may be told several times that an instance is
+// missing. That does not delay its removal.
+func TestRepeatedRemovalIsNotDelayed(t *testing.T) {
+	is := is.New(t)
+	r := registrar.New()
+	r.Put(0, ready("a"))
+	r.StoreLost(0)
+	for now := second; now < 2*second; now += 300 * time.Millisecond {
+		r.Replace(now, nil)
+	}
+	is.Equal(r.DropExpired(2*second+100*time.Millisecond), []string{"a"})
+}
--- a/pkg/sharer/entry.go
+++ b/pkg/sharer/entry.go
@@ -228,7 +228,8 @@
 // resize applies a changed total. A lower total takes effect at once; a higher
 // one is issued by the next collection.
 func (e *entry) resize(now time.Duration, limit Limit) {
-	if limit.total == e.limit.total {
+	if limit.total == e.limit.total && limit.kind == e.limit.kind {
+		e.limit = limit // its home zone may have changed
 		return
 	}
 	have := e.bucket.Amount()
--- a/pkg/sharer/transfer.go
+++ b/pkg/sharer/transfer.go
@@ -49,7 +49,7 @@
 // twice a rate. It returns false unless it has a recent hint from every peer.
 func (s *Sharer) overloaded(now time.Duration, limit string, peers []tracker.HostID) bool {
 	e := s.entry(limit)
-	if e == nil || e.limit.kind != Rate {
+	if e == nil {
 		return false
 	}
 	s.mu.Lock()
@@ -66,7 +66,7 @@
 	defer e.mu.Unlock()
 	e.rollWindow(now)
 	sum += e.demand
-	return sum > 2*e.limit.total.Rate
+	return e.limit.kind == Rate && sum > 2*e.limit.total.Rate
 }
 
 // RepeatUnanswered returns a new ask for each one that has had no answer for longer
@@ -200,12 +200,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removePending(t.From, t.Limit, t.AskID)
-	s.hints[askKey{peer: t.From, limit: t.Limit}] = hint{remaining: t.RemainingShare, tokens: t.RemainingTokens, demand: t.Demand, receivedAt: now}
 	e := s.entry(t.Limit)
 	if e == nil || !s.valid(t.Message) {
 		s.lostTransfers++
 		return false
 	}
+	s.hints[askKey{peer: t.From, limit: t.Limit}] = hint{remaining: t.RemainingShare, tokens: t.RemainingTokens, demand: t.Demand, receivedAt: now}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.limit.total != t.Total {
