roundtripper: keep idle connections for requests that can be retried, count dials by cause

Cause: a connection too old for an order was closed although a read could use it; the age limits were 3 and 4.8 s where servers state 10 s. After a reused connection broke without a response, orders use only connections idle for less than 0.1 s for 10 s, so that servers that forget idle connections cost a read's retry, not an order. TestOrdersAvoidIdleConnectionsAfterOneWasForgotten failed before (502).

--- a/internal/controller/health.go
+++ b/internal/controller/health.go
@@ -32,7 +32,9 @@
 	scope := l.controller.recorder.Scope()
 	scope.Gauge("backend_servers").Update(float64(len(all)))
 	scope.Gauge("backend_servers_impaired").Update(float64(len(impaired)))
-	scope.Gauge("backend_connections_opened").Update(float64(l.controller.roundTripper.DialCount()))
+	for cause, count := range l.controller.roundTripper.DialCounts() {
+		scope.Tagged(map[string]string{"cause": cause}).Gauge("backend_connections_opened").Update(float64(count))
+	}
 }
 
 func isImpaired(s placer.Summary) bool {
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -243,7 +243,7 @@
 var faults = []target.Fault{
 	target.None, target.Shed, target.NoResponse, target.Reset, target.CutShort, target.ForeignResponse, target.DuplicateResponse, target.Garbage,
 	target.Unsigned, target.NoContentLength, target.ServerError, target.Unavailable, target.Hang, target.UnannouncedClose, target.EarlyResponse, target.Misdirected,
-	target.AnonymousResponse, target.EndlessHead, target.EndlessBody, target.StalledShed,
+	target.ForgottenIdle, target.AnonymousResponse, target.EndlessHead, target.EndlessBody, target.StalledShed,
 }
 
 // Guards against wrong reports to the caller under every pair of faults on two
@@ -293,6 +293,20 @@
 	is.Equal(s.backends[0].Connections(), 1)
 }
 
+// A backend server that drops idle connections without notice costs a read one
+// retry. Orders then use new connections, so that none is lost in this way.
+func TestOrdersAvoidIdleConnectionsAfterOneWasForgotten(t *testing.T) {
+	is := is.New(t)
+	s := newTestHost(t, 1)
+	s.backends[0].QueueFaults(target.ForgottenIdle, target.None, target.ForgottenIdle)
+	is.Equal(s.send(http.MethodGet, "/read/", "a", "").status, http.StatusOK)
+	is.Equal(s.send(http.MethodGet, "/read/", "b", "").status, http.StatusBadGateway) // there is no other backend server
+	is.Equal(s.send(http.MethodGet, "/read/", "c", "").status, http.StatusOK)
+	is.Equal(s.send(http.MethodGet, "/read/", "d", "").status, http.StatusOK)
+	time.Sleep(150 * time.Millisecond)
+	is.Equal(s.send(http.MethodPost, "/order/", "e", "brooms").status, http.StatusOK)
+}
+
 // A request whose body does not arrive never reached a backend server, so it does
 // not use up the rate of its workspace.
 func TestRequestWithoutItsBodyIsNotCharged(t *testing.T) {
--- a/internal/roundtripper/conn.go
+++ b/internal/roundtripper/conn.go
@@ -32,22 +32,26 @@
 // readLimiter bounds the bytes that are read for response heads, which the HTTP
 // library reads into memory without a limit of its own.
 type readLimiter struct {
-	conn net.Conn
-	left int // bytes that may still be read; unlimited outside of heads
+	conn     net.Conn
+	left     int // bytes that may still be read; unlimited outside of heads
+	received int // bytes read since the current request was sent
 }
 
 const unlimited = -1
 
 // Read implements io.Reader.
 func (l *readLimiter) Read(p []byte) (int, error) {
-	if l.left == unlimited {
-		return l.conn.Read(p)
-	}
 	if l.left == 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := l.conn.Read(p[:min(len(p), l.left)])
-	l.left -= n
+	if l.left != unlimited {
+		p = p[:min(len(p), l.left)]
+	}
+	n, err := l.conn.Read(p)
+	l.received += n
+	if l.left != unlimited {
+		l.left -= n
+	}
 	return n, err
 }
 
--- a/internal/roundtripper/pool.go
+++ b/internal/roundtripper/pool.go
@@ -27,9 +27,24 @@
 	dialer    net.Dialer
 	mu        sync.Mutex
 	idle      map[string][]*persistConn
-	idleCount int   // idle connections to all backend servers
-	maxIdle   int   // limit of idleCount
-	dialCount int64 // connections dialed, including failed ones
+	idleCount int               // idle connections to all backend servers
+	maxIdle   int               // limit of idleCount
+	dialCount [dialCauses]int64 // connections dialed, including failed ones
+}
+
+// dialCause is the reason why a new connection is opened.
+type dialCause int
+
+const (
+	noneIdle   dialCause = iota // no connection to the backend server is idle
+	idleTooOld                  // the idle connections are too old for the request
+	idleBroken                  // the idle connections were closed or have stray bytes
+	dialCauses                  // number of causes
+)
+
+// String returns the cause as it appears in metrics.
+func (c dialCause) String() string {
+	return [...]string{"none-idle", "idle-too-old", "idle-broken"}[c]
 }
 
 func newPool(maxIdle int) *pool {
@@ -60,40 +75,50 @@
 }
 
 // get returns a usable connection that was idle for at most the given share of
-// its maximum idle time, or nil. It closes connections that it rejects.
-func (p *pool) get(key string, now time.Time, share float64) *persistConn {
+// its maximum idle time and for at most the longest time, or nil and the cause why
+// there is none. It closes connections that are no longer usable. Those that are
+// only too old for this request stay.
+func (p *pool) get(key string, now time.Time, share float64, longest time.Duration) (*persistConn, dialCause) {
+	cause := noneIdle
 	for {
-		c := p.pop(key)
+		c, tooOld := p.pop(key, now, share, longest)
 		if c == nil {
-			return nil
+			if tooOld {
+				cause = idleTooOld
+			}
+			return nil, cause
 		}
-		fresh := now.Sub(c.idleSince) <= time.Duration(float64(c.maxIdle)*share)
-		if fresh && c.usable() {
-			return c
+		if c.usable() {
+			return c, cause
 		}
+		cause = idleBroken
 		_ = c.Close()
 	}
 }
 
-// pop removes and returns the most recently used connection, or nil.
-func (p *pool) pop(key string) *persistConn {
+// pop removes and returns the most recently used connection, or nil. If that one
+// is older than the share of its maximum idle time, the others are as well.
+func (p *pool) pop(key string, now time.Time, share float64, longest time.Duration) (c *persistConn, tooOld bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[key]
 	if len(list) == 0 {
-		return nil
+		return nil, false
+	}
+	c = list[len(list)-1]
+	if now.Sub(c.idleSince) > min(longest, time.Duration(float64(c.maxIdle)*share)) {
+		return nil, true
 	}
-	c := list[len(list)-1]
 	list[len(list)-1] = nil
 	p.idle[key] = list[:len(list)-1]
 	p.idleCount--
-	return c
+	return c, false
 }
 
 // dial opens a connection, which is not part of the pool until put is called.
-func (p *pool) dial(ctx context.Context, address, key string) (*persistConn, error) {
+func (p *pool) dial(ctx context.Context, address, key string, cause dialCause) (*persistConn, error) {
 	p.mu.Lock()
-	p.dialCount++
+	p.dialCount[cause]++
 	p.mu.Unlock()
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/internal/roundtripper/pool_test.go
+++ b/internal/roundtripper/pool_test.go
@@ -28,7 +28,8 @@
 	first, second, third := put("a"), put("b"), put("c")
 	is.True(!closed(first) && !closed(second))
 	is.True(closed(third))
-	is.True(p.pop("a") != nil)
+	popped, _ := p.pop("a", time.Unix(0, 0), 1, time.Minute)
+	is.True(popped != nil)
 	is.True(!closed(put("c")))
 	p.closeExcept(func(key string) bool { return key == "c" })
 	is.True(closed(second))
@@ -36,3 +37,22 @@
 	p.closeExpired(time.Unix(3600, 0))
 	is.Equal(p.idleCount, 0)
 }
+
+// A request that must not meet a connection that the backend server is about to
+// close opens a new one, and leaves the old one to requests that can be retried.
+func TestConnectionTooOldForOneRequestIsKeptForOthers(t *testing.T) {
+	is := is.New(t)
+	p := newPool(10)
+	local, remote := net.Pipe()
+	defer func() { _ = remote.Close() }()
+	c := newPersistConn(local, "a")
+	c.maxIdle = 8 * time.Second
+	p.put(c, time.Unix(0, 0))
+	got, cause := p.get("a", time.Unix(5, 0), 0.5, time.Minute)
+	is.True(got == nil)
+	is.Equal(cause, idleTooOld)
+	got, _ = p.get("a", time.Unix(5, 0), 1, time.Minute)
+	is.True(got == c)
+	_, cause = p.get("a", time.Unix(5, 0), 1, time.Minute)
+	is.Equal(cause, noneIdle)
+}
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -8,8 +8,10 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,10 +39,16 @@
 	maxInitialBuffer       = 64 << 10 // maximum bytes allocated for a response body before it is read
 	maxHeadBytes           = 64 << 10 // bytes of the heads that are read for one request; the limit for callers' heads is the same
 	maxMismatched          = 4        // responses to other requests that are skipped
-	nonIdempotentIdleShare = 0.5      // share of its maximum idle time after which a connection is not reused
-	idempotentIdleShare    = 0.8      // the same for idempotent requests, which can be retried
-	statedIdleShare        = 0.6      // share of the backend server's stated idle timeout that is used
+	nonIdempotentIdleShare = 0.35     // share of its maximum idle time after which a connection is not reused
+	idempotentIdleShare    = 1.0      // the same for idempotent requests, which can be retried
+	statedIdleShare        = 0.8      // share of the backend server's stated idle timeout that is used
 	maxInterim             = 8        // interim (1xx) responses that are skipped
+
+	// After a reused connection broke without a response, requests that cannot be
+	// retried use no connection that was idle for longer than cautiousIdle: backend
+	// servers or the network drop idle connections.
+	cautiousPeriod = 10 * time.Second
+	cautiousIdle   = 100 * time.Millisecond
 )
 
 // Target identifies one incarnation of a backend server.
@@ -77,6 +85,7 @@
 type RoundTripper struct {
 	headerNames header.Names
 	pool        *pool
+	brokenAt    atomic.Int64 // Unix time in nanoseconds at which a reused connection last broke without a response
 }
 
 // New returns a round tripper that keeps at most maxIdle idle connections in total.
@@ -84,11 +93,16 @@
 	return &RoundTripper{headerNames: headerNames, pool: newPool(maxIdle)}
 }
 
-// DialCount returns the number of dialed connections, including failed ones.
-func (t *RoundTripper) DialCount() int64 {
+// DialCounts returns the number of dialed connections by cause, including failed
+// ones.
+func (t *RoundTripper) DialCounts() map[string]int64 {
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
-	return t.pool.dialCount
+	counts := make(map[string]int64, dialCauses)
+	for cause, count := range t.pool.dialCount {
+		counts[dialCause(cause).String()] = count
+	}
+	return counts
 }
 
 // CloseExpired closes connections that have exceeded their maximum idle time.
@@ -120,6 +134,9 @@
 		stop()
 		_ = conn.Close()
 	}
+	if errors.Is(err, ErrBadResponse) && !conn.idleSince.IsZero() && conn.limiter.received == 0 && ctx.Err() == nil {
+		t.brokenAt.Store(time.Now().UnixNano())
+	}
 	return resp, err
 }
 
@@ -127,14 +144,18 @@
 // backend server may close an idle connection at the moment a request is sent,
 // so requests that cannot be retried reuse only recently used connections.
 func (t *RoundTripper) connect(ctx context.Context, target Target, idempotent bool) (*persistConn, error) {
-	share := nonIdempotentIdleShare
+	now := time.Now()
+	share, longest := nonIdempotentIdleShare, time.Duration(math.MaxInt64)
 	if idempotent {
 		share = idempotentIdleShare
+	} else if now.Sub(time.Unix(0, t.brokenAt.Load())) < cautiousPeriod {
+		longest = cautiousIdle
 	}
-	if conn := t.pool.get(target.key(), time.Now(), share); conn != nil {
+	conn, cause := t.pool.get(target.key(), now, share, longest)
+	if conn != nil {
 		return conn, nil
 	}
-	conn, err := t.pool.dial(ctx, target.Address, target.key())
+	conn, err := t.pool.dial(ctx, target.Address, target.key(), cause)
 	if err != nil {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
@@ -249,6 +270,7 @@
 func (x *exchange) readHead() (*http.Response, error) {
 	methodOnly := &http.Request{Method: x.req.Method}
 	mismatched := 0
+	x.conn.limiter.received = 0
 	x.conn.limiter.left = maxHeadBytes
 	defer func() { x.conn.limiter.left = unlimited }()
 	for interim := 0; interim <= maxInterim; {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -42,8 +42,9 @@
 	Misdirected       Fault = "elsewhere" // responds as another instance that has taken over the address
 	AnonymousResponse Fault = "anonymous" // sends a signed response without a request ID first
 	EndlessHead       Fault = "endless-head"
-	EndlessBody       Fault = "endless-body" // sends status 200 without a signature and a body that never ends
-	StalledShed       Fault = "stalled-shed" // like Shed, but the announced body never arrives
+	EndlessBody       Fault = "endless-body"   // sends status 200 without a signature and a body that never ends
+	ForgottenIdle     Fault = "forgotten-idle" // responds, and resets the connection when the next request arrives
+	StalledShed       Fault = "stalled-shed"   // like Shed, but the announced body never arrives
 )
 
 // Execution is one request that the backend server executed.
@@ -64,6 +65,7 @@
 	runs          []Execution
 	connections   int
 	open          map[net.Conn]bool
+	forgotten     map[net.Conn]bool // connections that are reset at their next request
 }
 
 // Option sets one property of a target.
@@ -90,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Responder{headers: headers, instance: instance, listener: listener, open: map[net.Conn]bool{}}
+	t := &Responder{headers: headers, instance: instance, listener: listener, open: map[net.Conn]bool{}, forgotten: map[net.Conn]bool{}}
 	for _, option := range options {
 		option(t)
 	}
@@ -158,12 +160,20 @@
 		_ = conn.Close()
 	}()
 	reader := bufio.NewReader(conn)
-	for {
+	for !t.forgets(conn) {
 		r, err := http.ReadRequest(reader)
 		if err != nil || !t.handle(conn, r) {
 			return
 		}
 	}
+	_, _ = reader.Peek(1) // closing the connection with unread bytes resets it
+}
+
+// forgets reports whether the connection is reset at its next request.
+func (t *Responder) forgets(conn net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.forgotten[conn]
 }
 
 // nextFault removes and returns the next planned fault, or None.
@@ -234,6 +244,10 @@
 		return false
 	case ForeignResponse:
 		return t.write(conn, t.formatHead("200 OK", "another", 5, "")+"wrong"+response)
+	case ForgottenIdle:
+		t.mu.Lock()
+		t.forgotten[conn] = true
+		t.mu.Unlock()
 	case AnonymousResponse:
 		return t.write(conn, "HTTP/1.1 200 OK\r\n"+t.headers.ResponseStamp+": s.another\r\nContent-Length: 5\r\n\r\nwrong"+response)
 	case EndlessHead:
