tracker, controller: give hosts of other regions four seconds between heartbeats

Cause: relays send to other regions every second interval, so a host there may be 2.0 s old when nothing is lost, and 2.2 s were allowed.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -24,6 +24,7 @@
 	heartbeatInterval = 500 * time.Millisecond  // between rounds of gossip messages
 	watcherTimeout    = 1700 * time.Millisecond // without gossip from a watching host; then this host watches itself
 	hostTimeout       = 2200 * time.Millisecond // four heartbeat intervals: some datagrams are lost
+	farHostTimeout    = 4 * time.Second         // the same for hosts of other regions: relays send there every second interval
 	sweepInterval     = 2 * time.Second         // between sweeps of idle connections and checks for impaired servers
 	longestWatchHosts = 1000                    // host count for which a follower uses its longest watches
 	reloadInterval    = 2 * time.Second         // the settings file may change without a signal
@@ -80,7 +81,7 @@
 	l := &loop{
 		controller: c,
 		inbox:      make(chan message, inboxSize),
-		tracker:    tracker.New(self, tracker.WithTimeout(hostTimeout)),
+		tracker:    tracker.New(self, tracker.WithTimeout(hostTimeout), tracker.WithZoneTimeouts(zoneTimeouts(c.settings))),
 		registrar:  registrar.New(),
 		followers:  map[string]*follower.Follower{},
 		kinds:      kinds,
@@ -99,6 +100,17 @@
 	return l
 }
 
+// zoneTimeouts returns the heartbeat timeouts of the zones of other regions.
+func zoneTimeouts(settings *loader.Deployment) map[string]time.Duration {
+	timeouts := map[string]time.Duration{}
+	for zone, region := range settings.Regions {
+		if region != settings.Region {
+			timeouts[zone] = farHostTimeout
+		}
+	}
+	return timeouts
+}
+
 // start starts the loop, and the first list of registered hosts, which decides
 // whether this host starts to watch the store at once. Both end with ctx.
 func (l *loop) start(ctx context.Context) {
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -11,7 +11,8 @@
 // caller's clock. It is not safe for concurrent use.
 type Tracker struct {
 	self             Heartbeat
-	timeout          time.Duration // without a new heartbeat for this long, a host is not live
+	timeout          time.Duration            // without a new heartbeat for this long, a host is not live
+	zoneTimeouts     map[string]time.Duration // the same for the hosts of some availability zones
 	entries          map[string]*entry
 	byIncarnation    map[uint64]*entry // the same entries
 	sorted           []*entry          // the same entries, ordered by name; nil when it must be rebuilt
@@ -28,6 +29,12 @@
 	return func(t *Tracker) { t.timeout = d }
 }
 
+// WithZoneTimeouts sets the timeouts of the hosts of some availability zones, whose
+// heartbeats arrive less often.
+func WithZoneTimeouts(timeouts map[string]time.Duration) Option {
+	return func(t *Tracker) { t.zoneTimeouts = timeouts }
+}
+
 // New returns a tracker that contains only its own host.
 func New(self Heartbeat, options ...Option) *Tracker {
 	t := &Tracker{
@@ -135,7 +142,13 @@
 }
 
 // live reports whether the latest heartbeat of a host is recent.
-func (t *Tracker) live(now time.Duration, e *entry) bool { return now-e.updatedAt < t.timeout }
+func (t *Tracker) live(now time.Duration, e *entry) bool {
+	timeout, ok := t.zoneTimeouts[e.heartbeat.Zone]
+	if !ok {
+		timeout = t.timeout
+	}
+	return now-e.updatedAt < timeout
+}
 
 // IsDead reports whether an incarnation has provably ended or given up everything
 // it held.
--- a/pkg/tracker/tracker_test.go
+++ b/pkg/tracker/tracker_test.go
@@ -98,3 +98,19 @@
 	is.True(!own.Superseded())
 	is.True(own.NextHeartbeat().ID.Incarnation > late)
 }
+
+// Heartbeats of another region arrive less often.
+func TestZonesMayHaveTheirOwnTimeout(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New(heartbeat("a", 1, 0, "x"), tracker.WithTimeout(2*second), tracker.WithZoneTimeouts(map[string]time.Duration{"far": 4 * second}))
+	far := heartbeat("b", 2, 1, "x")
+	far.Zone = "far"
+	near := heartbeat("c", 3, 1, "x")
+	near.Zone = "near"
+	tr.Apply(0, far, near)
+	is.Equal(len(tr.Live(second)), 3)
+	is.Equal(len(tr.Live(3*second)), 2)
+	is.Equal(tr.LiveCount(3*second), 2)
+	is.Equal(len(tr.Live(4*second)), 1)
+	is.Equal(len(tr.ZoneDigests(4*second)), 1)
+}
