server, router, sharer, queuer: count all slots in Retry-After, let a test fail, drop unused code

- pool: Retry-After took the whole queue as waiting for one slot (TestRetryAfterCountsAllSlots failed before: 10 s instead of 5 s)
- router: TestLowLoadReportDoesNotHideOwnRequests reported at time 0, which is ignored, and both servers alike; now one reports, at 1 s

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -7,18 +7,11 @@
 	"net/http"
 	"path"
 	"strings"
-	"time"
 
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
 	"magnoliahill.example/magnoliahill/pkg/header"
 )
 
-// Shares charges requests to this host's shares of the distributed limits.
-type Shares interface {
-	Take(now time.Duration, limit string, n int64) bool
-	Wait(now time.Duration, limit string) (time.Duration, bool)
-}
-
 // Grant holds what a key gives access to.
 type Grant struct {
 	workspace *cataloger.Workspace
--- a/internal/server/pool.go
+++ b/internal/server/pool.go
@@ -88,11 +88,7 @@
 	if p.queue.Len() < maxQueued/2 {
 		return nil
 	}
-	slots := 0
-	for _, server := range p.service.BackendServers() {
-		slots += server.Slots()
-	}
-	queueTime := p.averageHold * time.Duration(p.queue.Len()) / time.Duration(max(slots, 1))
+	queueTime := p.queueTime(p.queue.Len())
 	if now+queueTime < deadline {
 		return nil
 	}
@@ -133,12 +129,22 @@
 	return admitter.RefuseNotRun(503, reason, text, max(retryAfter, time.Second))
 }
 
-// retryAfter returns the delay after which a refused caller may retry,
-// estimated from the length of the queue.
+// retryAfter returns the delay after which a refused caller may retry, estimated
+// from the length of the queue.
 func (p *pool) retryAfter() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.averageHold * time.Duration(p.queue.Len()+1)
+	return p.queueTime(p.queue.Len() + 1)
+}
+
+// queueTime estimates how long the service takes to serve a number of requests.
+// The caller holds the lock.
+func (p *pool) queueTime(requests int) time.Duration {
+	slots := 0
+	for _, server := range p.service.BackendServers() {
+		slots += server.Slots()
+	}
+	return p.averageHold * time.Duration(requests) / time.Duration(max(slots, 1))
 }
 
 // release releases a slot and assigns free slots to queued requests. It reports
--- a/pkg/queuer/queuer.go
+++ b/pkg/queuer/queuer.go
@@ -21,9 +21,6 @@
 // Value returns the value that was pushed with the item.
 func (i *Item) Value() any { return i.value }
 
-// Deadline returns the time from which Pop drops the item.
-func (i *Item) Deadline() time.Duration { return i.deadline }
-
 // Workspace returns the workspace that the request belongs to.
 func (i *Item) Workspace() string { return i.workspace }
 
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -151,10 +151,12 @@
 	r, _ := newRouter(t, localHeadroom{"headroom/s/a1": 100}, server{name: "underreporting", zone: "a1"}, server{name: "y", zone: "a1"})
 	load := map[string]int{}
 	for range 6 {
-		pick, ok := r.Pick(0, nil)
+		pick, ok := r.Pick(time.Second, nil)
 		is.True(ok)
 		load[pick.Server().Name()]++
-		r.RecordLoad(0, pick, 0)
+		if pick.Server().Name() == "underreporting" {
+			r.RecordLoad(time.Second, pick, 0)
+		}
 	}
 	is.Equal(load["underreporting"], 3)
 	is.Equal(load["y"], 3)
--- a/pkg/sharer/controller.go
+++ b/pkg/sharer/controller.go
@@ -21,7 +21,7 @@
 type ReadRoster struct{}
 
 // WriteRoster asks to replace the roster if it has the version, where 0 means that
-// there is none. Outcome: RosterWritten, RosterConflict or RosterFailed.
+// there is none. Outcome: RosterRead with the written roster, RosterConflict or RosterFailed.
 type WriteRoster struct {
 	Roster  Roster
 	Version int64
@@ -153,11 +153,6 @@
 	return c.takeActions()
 }
 
-// RosterWritten applies the roster that a write sent at a given time stored.
-func (c *Controller) RosterWritten(now, sent time.Duration, roster Roster, version int64) []Action {
-	return c.RosterRead(now, sent, roster, version)
-}
-
 // RosterAbsent records that the store holds no roster, and writes the first one.
 func (c *Controller) RosterAbsent(now time.Duration) []Action {
 	c.ioPending = false
--- a/pkg/sharer/node_test.go
+++ b/pkg/sharer/node_test.go
@@ -232,7 +232,7 @@
 			case !accepted:
 				x.perform(x.controller.RosterConflict(x.now()))
 			default:
-				x.perform(x.controller.RosterWritten(x.now(), sent, a.Roster, version))
+				x.perform(x.controller.RosterRead(x.now(), sent, a.Roster, version))
 			}
 		})
 	})
