controller, gossiper: send a gossip round in small slices, and demand as a sum

Change: a relay sends its zone the sum of the other zones' demand; a round goes out in slices of four recipients; an announced change carries no load.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -61,7 +61,9 @@
 	hostNames        []string                  // their names, sorted; nil before they were first counted
 	zoneHostCount    int                       // those of them in this host's zone
 	gossipedAt       time.Duration
-	deferred         []gossiper.Recipient // recipients of gossip messages that the next tick sends
+	deferred         []gossiper.Recipient // recipients of the gossip round that get their messages later
+	sliceSize        int                  // recipients that get their messages at once
+	sliceInterval    time.Duration        // between slices of a gossip round
 	sweptAt          time.Duration
 	fetching         bool // objects are being fetched from another host
 	registrationSent bool // this host's registration was written or is being written, and has not been seen since
@@ -242,8 +244,6 @@
 		l.gossipedAt = now
 		l.applyPeerState(now)
 		l.startGossipRound(now)
-	} else {
-		l.sendDeferred(now)
 	}
 	if now-l.sweptAt >= sweepInterval {
 		l.sweptAt = now
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -17,6 +17,7 @@
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1/peerv1connect"
 	"magnoliahill.example/magnoliahill/pkg/gossiper"
+	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
 
 const (
@@ -35,31 +36,51 @@
 	l.sendMessages(now, l.gossiper.Recipients(now))
 }
 
-// startGossipRound sends half of the gossip messages that are due, and defers
-// the others to the next tick: what one host sends at once must fit into the
-// queue of its network link.
+// recipientsPerSlice is the number of gossip messages that are sent at once. What a
+// host sends at once must fit into the queue of its network link.
+const recipientsPerSlice = 4
+
+// startGossipRound divides the gossip messages that are due into slices, which are
+// sent at equal intervals until the next round.
 func (l *loop) startGossipRound(now time.Duration) {
-	var first []gossiper.Recipient
-	l.deferred = nil
+	l.sendDeferred(now)
 	l.gossiper.StartRound(now, l.healthReports(now))
-	for i, recipient := range l.gossiper.RoundRecipients(now) {
-		if i%2 == 0 {
-			first = append(first, recipient)
-		} else {
-			l.deferred = append(l.deferred, recipient)
-		}
-	}
-	l.sendMessages(now, first)
+	l.deferred = l.gossiper.RoundRecipients(now)
+	slices := max(2, (len(l.deferred)+recipientsPerSlice-1)/recipientsPerSlice)
+	l.sliceInterval = heartbeatInterval / time.Duration(slices)
+	l.sliceSize = (len(l.deferred) + slices - 1) / slices
+	l.sendSlice(now)
 }
 
-// sendDeferred sends the gossip messages that the previous tick deferred.
-func (l *loop) sendDeferred(now time.Duration) {
+// sendSlice sends the next slice of the gossip round, and schedules the one after
+// it.
+func (l *loop) sendSlice(now time.Duration) {
+	n := min(l.sliceSize, len(l.deferred))
+	slice := l.deferred[:n]
+	l.deferred = l.deferred[n:]
+	l.sendMessages(now, slice)
 	if len(l.deferred) > 0 {
-		l.sendMessages(now, l.deferred)
-		l.deferred = nil
+		round := l.gossipedAt
+		time.AfterFunc(l.sliceInterval, func() { l.send(&sliceDue{round: round}) })
+	}
+}
+
+// sliceDue makes the loop send the next slice of a gossip round, unless another
+// round has begun.
+type sliceDue struct{ round time.Duration }
+
+func (m *sliceDue) apply(l *loop, now time.Duration) {
+	if m.round == l.gossipedAt {
+		l.sendSlice(now)
 	}
 }
 
+// sendDeferred sends the gossip messages of the round that were not sent yet.
+func (l *loop) sendDeferred(now time.Duration) {
+	l.sendMessages(now, l.deferred)
+	l.deferred = nil
+}
+
 // sendMessages sends the current gossip message of this host to each recipient.
 func (l *loop) sendMessages(now time.Duration, recipients []gossiper.Recipient) {
 	load := l.localLoad()
@@ -89,24 +110,43 @@
 	if !l.watching {
 		return
 	}
-	var sameZone []gossiper.Recipient
 	for _, recipient := range l.gossiper.Recipients(now) {
 		if !recipient.OtherZone {
-			sameZone = append(sameZone, recipient)
+			l.controller.sendDatagram(recipient.Control, l.announcement(now, recipient))
 		}
 	}
-	l.sendMessages(now, sameZone)
+}
+
+// announcement returns a message that tells a host of this zone which revisions
+// this host has, without load and heartbeats that the next round sends anyway.
+func (l *loop) announcement(now time.Duration, recipient gossiper.Recipient) *peerv1.Greeting {
+	m := l.storeState(now)
+	heartbeats := []tracker.Heartbeat{l.tracker.NextHeartbeat()}
+	m.Sender = heartbeats[0].ID.Incarnation
+	full, compact := l.gossiper.HeartbeatsFor(now, heartbeats, recipient)
+	m.Beats = messenger.EncodeHeartbeats(full)
+	m.Pulses = messenger.EncodeCompactHeartbeats(compact)
+	m.Digests = messenger.EncodeDigests(l.gossiper.DigestsFor(now, recipient))
+	return m
 }
 
 // gossipMessage returns the message for the class of a recipient, without digests
 // and health reports.
 func (l *loop) gossipMessage(now time.Duration, recipient gossiper.Recipient, load gossiper.Load) *peerv1.Greeting {
-	m := &peerv1.Greeting{
-		Watching:  l.watching,
-		StoreLost: l.storeOutage(now),
-		Blind:     l.storeUnreachable(),
-		Records:   messenger.EncodeLoadRecords(l.gossiper.LoadRecords(now, load, recipient.OtherZone)),
-	}
+	m := l.storeState(now)
+	m.Records = messenger.EncodeLoadRecords(l.gossiper.LoadRecords(now, load, recipient.OtherZone))
+	heartbeats := l.tracker.Heartbeats(now)
+	m.Sender = heartbeats[0].ID.Incarnation
+	full, compact := l.gossiper.HeartbeatsFor(now, heartbeats, recipient)
+	m.Beats = messenger.EncodeHeartbeats(full)
+	m.Pulses = messenger.EncodeCompactHeartbeats(compact)
+	return m
+}
+
+// storeState returns a message with what this host knows about the store and its
+// objects.
+func (l *loop) storeState(now time.Duration) *peerv1.Greeting {
+	m := &peerv1.Greeting{Watching: l.watching, StoreLost: l.storeOutage(now), Blind: l.storeUnreachable()}
 	if since := now - l.outageAt; l.outageAt > 0 && since < outageRetention {
 		m.LostBefore = uint32(since.Milliseconds()) + 1
 	}
@@ -117,11 +157,6 @@
 		}
 		m.Positions = append(m.Positions, revision)
 	}
-	heartbeats := l.tracker.Heartbeats(now)
-	m.Sender = heartbeats[0].ID.Incarnation
-	full, compact := l.gossiper.HeartbeatsFor(now, heartbeats, recipient)
-	m.Beats = messenger.EncodeHeartbeats(full)
-	m.Pulses = messenger.EncodeCompactHeartbeats(compact)
 	return m
 }
 
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -189,7 +189,7 @@
 
 // LoadRecords returns the load records to send. Other zones get the sum of the own
 // zone. Hosts of the own zone get the load of this host. If it is a relay, they
-// also get the demand and services of each other zone, and one record with the
+// also get the services of each other zone, and one record with the demand and the
 // requests in flight per backend server summed over the other zones.
 func (g *Gossiper) LoadRecords(now time.Duration, own Load, otherZone bool) []LoadRecord {
 	if otherZone {
@@ -202,8 +202,8 @@
 	otherZones := newLoad()
 	for scope, stored := range g.records {
 		if strings.HasPrefix(scope, zoneScopePrefix) && stored.direct && now-stored.receivedAt < recordTTL {
-			records = append(records, LoadRecord{Scope: scope, Load: Load{Demands: stored.record.Demands, Services: stored.record.Services}})
-			otherZones.add(Load{Running: stored.record.Running})
+			records = append(records, LoadRecord{Scope: scope, Load: Load{Services: stored.record.Services}})
+			otherZones.add(Load{Demands: stored.record.Demands, Running: stored.record.Running})
 		}
 	}
 	sort.Slice(records, func(i, j int) bool { return records[i].Scope < records[j].Scope })
@@ -222,33 +222,26 @@
 }
 
 // OtherLoad returns the summed load of all other hosts and zones, without expired
-// records, which it deletes. On a relay the requests in flight in other zones are
-// those that the zones reported directly; the other hosts use the sum that a relay
-// sent, if there is one.
+// records, which it deletes. The load of the other zones is known from the zones
+// that reported to this host directly, and from the sum that a relay sent; either
+// may lack a zone, so the higher value of each counts.
 func (g *Gossiper) OtherLoad(now time.Duration) Load {
-	sum, direct := newLoad(), newLoad()
-	otherZones, summed := g.records[otherZonesScope]
-	directZones := 0
+	sum, direct, summed := newLoad(), newLoad(), Load{}
 	for scope, stored := range g.records {
 		switch {
 		case now-stored.receivedAt >= recordTTL:
 			delete(g.records, scope)
-			summed = summed && scope != otherZonesScope
 		case scope == otherZonesScope:
+			summed = stored.record.Load
 		case strings.HasPrefix(scope, zoneScopePrefix):
-			sum.add(Load{Demands: stored.record.Demands, Services: stored.record.Services})
-			direct.add(Load{Running: stored.record.Running})
-			if stored.direct {
-				directZones++
-			}
+			sum.add(Load{Services: stored.record.Services})
+			direct.add(Load{Demands: stored.record.Demands, Running: stored.record.Running})
 		default:
 			sum.add(stored.record.Load)
 		}
 	}
-	if summed && (directZones == 0 || !g.IsRelay(now)) {
-		direct = otherZones.record.Load
-	}
-	sum.add(Load{Running: direct.Running})
+	direct.raiseTo(summed)
+	sum.add(direct)
 	return sum
 }
 
@@ -287,6 +280,17 @@
 	}
 }
 
+// raiseTo raises each demand and number of requests in flight to that of another
+// load, if it is lower.
+func (l Load) raiseTo(other Load) {
+	for hash, rate := range other.Demands {
+		l.Demands[hash] = max(l.Demands[hash], rate)
+	}
+	for hash, running := range other.Running {
+		l.Running[hash] = max(l.Running[hash], running)
+	}
+}
+
 // Add returns the sum of both.
 func (s ServiceLoad) Add(other ServiceLoad) ServiceLoad {
 	sum := ServiceLoad{Free: s.Free + other.Free, Bound: map[uint32]int{}}
