--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -3,9 +3,9 @@
 // all hosts of its availability zone. Two hosts of each zone, the relays, are
 // elected by rendezvous hashing; they also send gossip to the relays of each
 // other zone and forward what they receive. The first relay sends to the first
-// relay of each zone and the second to the second, those of other regions in
-// alternate rounds, so that the messages between two zones do not depend on the
-// number of their hosts. The package does no I/O and is not safe for concurrent
+// relay of each zone and the second to the second, with many zones by turns to
+// those of other regions, so that the messages between two zones do not depend on
+// the number of their hosts. The package does no I/O and is not safe for concurrent
 // use.
 package gossiper
 
--- a/pkg/gossiper/gossiper_test.go
+++ b/pkg/gossiper/gossiper_test.go
@@ -200,16 +200,20 @@
 	}
 }
 
-// In each round one message goes from each zone to each zone of another region and
-// two to the zones of the own region, however many hosts a zone has.
+// In each round two messages go from each zone to each other zone, however many
+// hosts a zone has. With many zones only one goes to those of other regions.
 func TestCrossZoneMessagesGrowWithZonesNotHosts(t *testing.T) {
 	is := is.New(t)
 	n := newNetwork(4, 10)
 	n.rounds(6)
 	n.sent = 0
 	n.round()
-	within, between := 40*9, 4*2+4*2
-	is.Equal(n.sent, within+between)
+	is.Equal(n.sent, 40*9+4*3*2)
+	n = newNetwork(8, 10)
+	n.rounds(6)
+	n.sent = 0
+	n.round()
+	is.Equal(n.sent, 80*9+8*2+8*6)
 }
 
 // A host that restarts changes the view of one zone only: the complete heartbeats
--- a/pkg/gossiper/health.go
+++ b/pkg/gossiper/health.go
@@ -27,8 +27,8 @@
 
 // StartRound starts a gossip round with the health reports of this host's own
 // attempts and, on the first relay, the reports to forward. Other zones get only
-// the reports of impaired backend servers, in the rounds in which the first relay
-// sends to all of them.
+// the reports of impaired backend servers, in rounds in which the first relay sends
+// to all of them.
 func (g *Gossiper) StartRound(now time.Duration, own HealthReports) {
 	toZone, toOtherZones := HealthReports{}, HealthReports{}
 	toZone.add(own)
@@ -43,7 +43,7 @@
 	g.forgetUnknown(now)
 	g.round.toZone = toZone.mostAttempted(func(placer.HealthReport) bool { return true })
 	impaired := toOtherZones.mostAttempted(func(e placer.HealthReport) bool { return e.Impaired })
-	if g.rounds%relaysPerZone == 0 {
+	if !g.byTurns() || g.rounds%relaysPerZone == 0 {
 		g.round.toOtherZones = impaired
 	} else {
 		g.round.deferred = impaired
--- a/pkg/gossiper/recipients.go
+++ b/pkg/gossiper/recipients.go
@@ -49,10 +49,13 @@
 			continue
 		}
 		relays := relaysAmong(hosts, live)
-		index := role.partner(g.rounds) % len(relays)
-		recipient := g.otherZoneRecipient(relays[index], digests)
-		recipient.WithHealthReports = index == 0 && role.rank == 0
-		recipients = append(recipients, recipient)
+		for _, index := range g.partners(role) {
+			if index < len(relays) {
+				recipient := g.otherZoneRecipient(relays[index], digests)
+				recipient.WithHealthReports = index == 0 && role.rank == 0
+				recipients = append(recipients, recipient)
+			}
+		}
 	}
 	recipients = append(recipients, g.isolatedRecipients(byZone, digests)...)
 	if len(recipients) == 0 || len(live) == 1 {
@@ -112,19 +115,28 @@
 	count int // relays of the zone; at least 1
 }
 
-// partner returns the index of the relay of each other zone that the host sends
-// gossip to in a round. A zone with a single relay reaches all of them by turns.
-func (r relayRole) partner(round int) int {
-	if r.count == 1 {
-		return round % relaysPerZone
+// maxZonesEveryRound is the number of availability zones up to which relays send
+// to all zones in every round. The messages grow with its square.
+const maxZonesEveryRound = 6
+
+func (g *Gossiper) byTurns() bool { return len(g.regions) > maxZonesEveryRound }
+
+// partners returns the indexes of the relays of each other zone that the host sends
+// gossip to in the present round. A zone with a single relay reaches all of them.
+func (g *Gossiper) partners(role relayRole) []int {
+	switch {
+	case role.count > 1:
+		return []int{role.rank}
+	case g.byTurns():
+		return []int{g.rounds % relaysPerZone}
 	}
-	return r.rank
+	return []int{0, 1}
 }
 
 // due reports whether a relay sends gossip to another zone in the present round.
-// To other regions the relays send by turns.
+// With many zones, the relays send to those of other regions by turns.
 func (g *Gossiper) due(zone string, role relayRole) bool {
-	return g.regions[zone] == g.regions[g.zone] || g.rounds%role.count == role.rank
+	return !g.byTurns() || g.regions[zone] == g.regions[g.zone] || g.rounds%role.count == role.rank
 }
 
 func (g *Gossiper) relayRole(now time.Duration) relayRole {
