controller: apply store updates before gossip

Cause: all inputs of the loop waited in one queue of 256; on a host with 0.16 of a core a change of registrations could wait behind that many gossip messages. TestGossipDoesNotDelayOtherMessages failed before.

--- a/internal/controller/discovery_test.go
+++ b/internal/controller/discovery_test.go
@@ -101,3 +101,27 @@
 	(&hostsDiscovered{err: errors.New("no answer")}).apply(l, 0)
 	is.True(l.watching)
 }
+
+// probe records in which order the loop applies messages.
+type probe struct {
+	name    string
+	applied *[]string
+}
+
+func (p probe) apply(*loop, time.Duration) { *p.applied = append(*p.applied, p.name) }
+
+// A change of the store is applied before gossip that arrived earlier, and gossip
+// that finds no room does not block its receiver.
+func TestGossipDoesNotDelayOtherMessages(t *testing.T) {
+	is := is.New(t)
+	l := newTestLoop(t, "host")
+	var applied []string
+	for range 2 * gossipInboxSize {
+		l.sendReceivedGossip(probe{"gossip", &applied})
+	}
+	l.send(probe{"store", &applied})
+	l.step(l.workCtx, nil)
+	l.step(l.workCtx, nil)
+	is.Equal(applied, []string{"store", "gossip"})
+	is.Equal(len(l.gossipInbox), gossipInboxSize-1)
+}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -20,6 +20,7 @@
 
 const (
 	inboxSize         = 256                     // messages
+	gossipInboxSize   = 128                     // gossip messages; further ones are dropped, the next round sends the state again
 	tickInterval      = 250 * time.Millisecond  // between checks for periodic work
 	heartbeatInterval = 500 * time.Millisecond  // between rounds of gossip messages
 	watcherTimeout    = 1700 * time.Millisecond // without gossip from a watching host; then this host watches itself
@@ -35,6 +36,7 @@
 type loop struct {
 	controller       *Controller
 	inbox            chan message
+	gossipInbox      chan message // gossip messages of other hosts
 	tracker          *tracker.Tracker
 	gossiper         *gossiper.Gossiper
 	registrar        *registrar.Registrar
@@ -83,12 +85,14 @@
 	l := &loop{
 		controller: c,
 		inbox:      make(chan message, inboxSize),
-		tracker:    tracker.New(self, tracker.WithTimeout(hostTimeout), tracker.WithZoneTimeouts(zoneTimeouts(c.settings))),
-		registrar:  registrar.New(),
-		followers:  map[string]*follower.Follower{},
-		kinds:      kinds,
-		caches:     map[string]*objectCache{},
-		hostCount:  c.settings.ExpectedHosts,
+
+		gossipInbox: make(chan message, gossipInboxSize),
+		tracker:     tracker.New(self, tracker.WithTimeout(hostTimeout), tracker.WithZoneTimeouts(zoneTimeouts(c.settings))),
+		registrar:   registrar.New(),
+		followers:   map[string]*follower.Follower{},
+		kinds:       kinds,
+		caches:      map[string]*objectCache{},
+		hostCount:   c.settings.ExpectedHosts,
 	}
 	l.gossiper = gossiper.New(c.settings.Host, c.settings.Zone, l.tracker, c.settings.Seeds,
 		gossiper.WithRegions(c.settings.Regions))
@@ -172,21 +176,46 @@
 func (l *loop) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case m := <-l.inbox:
-			m.apply(l, l.controller.clock.Now())
-		case <-ticker.C:
-			l.tick(l.controller.clock.Now())
-		}
+	for ctx.Err() == nil {
+		l.step(ctx, ticker.C)
+	}
+}
+
+// step waits for the next input and processes it. Gossip comes last: on a host that
+// is short of processor time a change of the store must not wait behind it.
+func (l *loop) step(ctx context.Context, ticks <-chan time.Time) {
+	select {
+	case m := <-l.inbox:
+		m.apply(l, l.controller.clock.Now())
+		return
+	case <-ticks:
+		l.tick(l.controller.clock.Now())
+		return
+	default:
+	}
+	select {
+	case <-ctx.Done():
+	case m := <-l.inbox:
+		m.apply(l, l.controller.clock.Now())
+	case <-ticks:
+		l.tick(l.controller.clock.Now())
+	case m := <-l.gossipInbox:
+		m.apply(l, l.controller.clock.Now())
 	}
 }
 
 // send queues a message for the loop. It blocks while the inbox is full.
 func (l *loop) send(m message) { l.inbox <- m }
 
+// sendReceivedGossip queues a gossip message for the loop, or drops it when many
+// are waiting.
+func (l *loop) sendReceivedGossip(m message) {
+	select {
+	case l.gossipInbox <- m:
+	default:
+	}
+}
+
 // storeUpdate is an update from the follower of one kind.
 type storeUpdate struct{ follower.Update }
 
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -195,7 +195,7 @@
 			klog.InfoS("invalid datagram ignored", "bytes", n, "cause", err.Error())
 			continue
 		}
-		c.loop.send(&gossipReceived{m})
+		c.loop.sendReceivedGossip(&gossipReceived{m})
 	}
 }
 
