--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -307,6 +307,24 @@
 	is.Equal(s.send(http.MethodPost, "/order/", "e", "brooms").status, http.StatusOK)
 }
 
+// A long answer is forwarded while it arrives. When it breaks off, or never ends,
+// the caller's connection is aborted by the time limit: it must not look complete.
+func TestLongAnswerThatIsNotCompleteIsAborted(t *testing.T) {
+	for _, fault := range []target.Fault{target.LongCutShort, target.EndlessSigned} {
+		t.Run(string(fault), func(t *testing.T) {
+			is := is.New(t)
+			s := newTestHost(t, 1)
+			s.backends[0].QueueFaults(fault)
+			began := time.Now()
+			got := s.send(http.MethodPost, "/order/", "id-1", "brooms")
+			is.True(got.broken)
+			is.True(time.Since(began) < 5*time.Second) // the time limit is 400 ms
+			is.Equal(len(s.executions()), 1)
+			is.Equal(s.send(http.MethodPost, "/order/", "id-2", "brooms").body, "answer to id-2")
+		})
+	}
+}
+
 // A request whose body does not arrive never reached a backend server, so it does
 // not use up the rate of its workspace.
 func TestRequestWithoutItsBodyIsNotCharged(t *testing.T) {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -44,6 +44,8 @@
 	EndlessHead       Fault = "endless-head"
 	EndlessBody       Fault = "endless-body"   // sends status 200 without a signature and a body that never ends
 	ForgottenIdle     Fault = "forgotten-idle" // responds, and resets the connection when the next request arrives
+	EndlessSigned     Fault = "endless-signed" // sends a signed status 200 and a body that never ends
+	LongCutShort      Fault = "long-cut-short" // announces 2 MB, sends three quarters and closes the connection
 	StalledShed       Fault = "stalled-shed"   // like Shed, but the announced body never arrives
 )
 
@@ -253,6 +255,12 @@
 	case EndlessHead:
 		t.writeEndless(conn, "HTTP/1.1 200 OK\r\n", "X-Filler: "+strings.Repeat("x", 1000)+"\r\n", 0)
 		return false
+	case EndlessSigned:
+		t.writeEndless(conn, "HTTP/1.1 200 OK\r\n"+t.headers.RequestID+": "+id+"\r\n"+t.headers.ResponseStamp+": s."+id+"\r\n\r\n", strings.Repeat("x", 64<<10), time.Millisecond)
+		return false
+	case LongCutShort:
+		t.write(conn, t.formatHead("200 OK", id, 2<<20, "")+strings.Repeat("x", 3<<19))
+		return false
 	case EndlessBody:
 		t.writeEndless(conn, "HTTP/1.1 200 OK\r\n"+t.headers.RequestID+": "+id+"\r\n\r\n", "x", time.Millisecond)
 		return false
