allocator, controller: pool small limits over the hosts of a region

Cause: a limit of 13 requests a second with a burst of 13 was split over nine zones, so that each zone's bucket held 1.4 requests. Change: the hosts of a region share a pool (a charge takes 2 ms there), counted by the live ones, so that hosts that cannot reach each other form smaller pools.

--- a/internal/charger/charger.go
+++ b/internal/charger/charger.go
@@ -1,6 +1,6 @@
 // Package charger charges requests to limits that all hosts enforce together. A
 // request is charged to the host's own share or, for a pooled limit, at the host
-// that owns the zone's share.
+// that owns the share of the hosts around it.
 package charger
 
 import (
@@ -15,7 +15,7 @@
 )
 
 const (
-	chargeTimeout  = 150 * time.Millisecond // within a zone a response takes about 1 ms
+	chargeTimeout  = 150 * time.Millisecond // within a region a response takes a few milliseconds
 	unavailableFor = time.Second            // pause after a failed charge before the host is contacted again
 	rolePrefix     = "limit/"               // hashed with the name of the limit to elect its owner
 )
@@ -32,15 +32,15 @@
 	self   string
 	shares *allocator.Allocator
 	client Client
-	view   atomic.Pointer[zoneView]
+	view   atomic.Pointer[groupView]
 
 	mu               sync.Mutex
 	unavailableUntil map[string]time.Duration // by control address; charges are not sent to it before this time
 }
 
-// zoneView holds the live hosts of the zone. A change of hosts replaces the whole
+// groupView holds the live hosts that share pooled limits. A change of hosts replaces the whole
 // view; only the owners are filled in later.
-type zoneView struct {
+type groupView struct {
 	hosts  []tracker.Host
 	mu     sync.Mutex
 	owners map[string]tracker.Host // by limit, elected on first use
@@ -50,22 +50,22 @@
 // limits are charged to the host's own share.
 func New(self string, shares *allocator.Allocator, client Client) *Charger {
 	c := &Charger{self: self, shares: shares, client: client, unavailableUntil: map[string]time.Duration{}}
-	c.view.Store(&zoneView{owners: map[string]tracker.Host{}})
+	c.view.Store(&groupView{owners: map[string]tracker.Host{}})
 	return c
 }
 
-// SetHosts sets the live hosts of this host's zone, this host included.
+// SetHosts sets the live hosts that share pooled limits, this host included.
 func (c *Charger) SetHosts(hosts []tracker.Host) {
 	same := func(a, b tracker.Host) bool { return a.ID == b.ID }
 	if slices.EqualFunc(c.view.Load().hosts, hosts, same) {
 		return
 	}
-	c.view.Store(&zoneView{hosts: hosts, owners: map[string]tracker.Host{}})
+	c.view.Store(&groupView{hosts: hosts, owners: map[string]tracker.Host{}})
 }
 
-// owner returns the host that owns the zone's share of a limit, and false if the
+// owner returns the host that owns the group's share of a limit, and false if the
 // view has no hosts.
-func (v *zoneView) owner(limit string) (tracker.Host, bool) {
+func (v *groupView) owner(limit string) (tracker.Host, bool) {
 	if len(v.hosts) == 0 {
 		return tracker.Host{}, false
 	}
--- a/internal/charger/charger_test.go
+++ b/internal/charger/charger_test.go
@@ -42,7 +42,7 @@
 		hosts = append(hosts, tracker.Host{Heartbeat: tracker.Heartbeat{ID: tracker.HostID{Name: name, Incarnation: 1}, Control: name}})
 		d := allocator.New(n, 0)
 		d.SetLimits(0, []allocator.Limit{{Name: "small", Rate: 10, Burst: 10}, {Name: "large", Rate: 1000, Burst: 1000}})
-		d.SetFleet(time.Second, allocator.Fleet{Hosts: n, ZoneHosts: n, Live: n})
+		d.SetFleet(time.Second, allocator.Fleet{Hosts: n, PoolHosts: n, Live: n})
 		z.shares[name] = d
 		chargers[name] = charger.New(name, d, z)
 	}
--- a/internal/controller/discovery_test.go
+++ b/internal/controller/discovery_test.go
@@ -14,6 +14,7 @@
 	"magnoliahill.example/magnoliahill/internal/loader"
 	"magnoliahill.example/magnoliahill/internal/storer"
 	"magnoliahill.example/magnoliahill/pkg/header"
+	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
 
 // idlePlatform is a platform whose store is empty and never changes.
@@ -125,3 +126,18 @@
 	is.Equal(applied, []string{"store", "gossip"})
 	is.Equal(len(l.gossipInbox), gossipInboxSize-1)
 }
+
+// A small limit is pooled by the hosts of the region: in the zones alone its burst
+// would be split into pieces of one or two requests.
+func TestPooledLimitsAreSharedByTheRegion(t *testing.T) {
+	is := is.New(t)
+	l := newTestLoop(t, "host")
+	l.controller.settings.Regions = map[string]string{"z": "r", "near": "r", "far": "q"}
+	var live []tracker.Host
+	for _, zone := range []string{"z", "near", "far"} {
+		live = append(live, tracker.Host{Heartbeat: tracker.Heartbeat{ID: tracker.HostID{Name: "in-" + zone}, Zone: zone, State: tracker.Serving}})
+	}
+	owners := l.limitOwners(live)
+	is.Equal(len(owners), 2)
+	is.Equal(owners[1].ID.Name, "in-near")
+}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -61,7 +61,6 @@
 	registeredHosts  []gossiper.RegisteredHost // registered hosts except this one
 	hostCount        int                       // hosts that share the limits, this one included
 	hostNames        []string                  // their names, sorted; nil before they were first counted
-	zoneHostCount    int                       // those of them in this host's zone
 	gossipedAt       time.Duration
 	deferred         []gossiper.Recipient // recipients of the gossip round that get their messages later
 	sliceSize        int                  // recipients that get their messages at once
@@ -294,21 +293,22 @@
 			f.SetWatcherCount(watcherCount(live))
 		}
 	}
+	owners := l.limitOwners(live)
 	l.controller.allocator.SetFleet(now, allocator.Fleet{
-		Hosts: l.hostCount, ZoneHosts: l.zoneHostCount, Live: len(live), OtherDemand: l.remoteDemand(reported),
+		Hosts: l.hostCount, PoolHosts: len(owners), Live: len(live), OtherDemand: l.remoteDemand(reported),
 	})
 	l.controller.placer.SetRemoteRunning(l.remoteRunning(reported))
 	l.controller.placer.SetDemand(now, l.regionDemand(now))
-	l.controller.charger.SetHosts(l.limitOwners(live))
+	l.controller.charger.SetHosts(owners)
 	l.controller.updateLookups(live)
 }
 
-// limitOwners returns the live hosts of this host's zone that may own a pooled
-// limit for it.
+// limitOwners returns the live hosts of this host's region, which share pooled
+// limits: a charge at any of them takes a few milliseconds.
 func (l *loop) limitOwners(live []tracker.Host) []tracker.Host {
 	var own []tracker.Host
 	for _, host := range live {
-		if host.Zone == l.controller.settings.Zone && (host.State == tracker.Serving || host.ID.Name == l.controller.settings.Host) {
+		if l.controller.settings.Regions[host.Zone] == l.controller.settings.Region && (host.State == tracker.Serving || host.ID.Name == l.controller.settings.Host) {
 			own = append(own, host)
 		}
 	}
--- a/internal/controller/registration.go
+++ b/internal/controller/registration.go
@@ -95,23 +95,14 @@
 // counts by its heartbeats.
 func (l *loop) countHosts(now time.Duration) {
 	names := []string{l.controller.settings.Host}
-	zones := []string{l.controller.settings.Zone}
 	seen := map[string]bool{l.controller.settings.Host: true}
 	for _, host := range l.tracker.Known(now) {
 		seen[host.ID.Name] = true
 		names = append(names, host.ID.Name)
-		zones = append(zones, host.Zone)
 	}
 	for _, host := range l.registeredHosts {
 		if !seen[host.Name] {
 			names = append(names, host.Name)
-			zones = append(zones, host.Zone)
-		}
-	}
-	l.zoneHostCount = 0
-	for _, zone := range zones {
-		if zone == l.controller.settings.Zone {
-			l.zoneHostCount++
 		}
 	}
 	slices.Sort(names)
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -4,8 +4,8 @@
 // other. The package does no I/O.
 //
 // A limit whose burst would be less than a few requests per host is pooled: in
-// each zone one host, the owner, holds the share of the whole zone, and the other
-// hosts of the zone charge their requests there.
+// each group of hosts that are near one another, one host, the owner, holds the
+// share of the whole group, and the others charge their requests there.
 //
 // The design covers three loads: a workspace that sends several times its rate
 // to all hosts at once, callers that move between hosts, and small workspaces
@@ -41,7 +41,7 @@
 // localShare is this host's share of one limit.
 type localShare struct {
 	limit         Limit
-	bucket        *limiter.Bucket            // the host's share, or the zone's share if the limit is pooled
+	bucket        *limiter.Bucket            // the host's share, or the group's share if the limit is pooled
 	fallback      *limiter.Bucket            // for a pooled limit while its owner is unavailable
 	requests      int                        // requests since the last sample
 	demand        float64                    // requests a second, a moving average
@@ -54,7 +54,7 @@
 	mu         sync.Mutex
 	shares     map[string]*localShare // by name of the limit
 	hosts      int                    // expected hosts, reachable or not; at least 1
-	zoneHosts  int                    // expected hosts in this host's zone; 1 to hosts
+	poolHosts  int                    // live hosts of this host's group, this one included; 1 to hosts
 	liveHosts  int                    // live hosts, this one included; 1 to hosts
 	lastSample time.Duration
 	overage    float64 // fraction by which the sum of all shares may exceed each limit
@@ -64,7 +64,7 @@
 // number of expected hosts, this one included; the shares of all of them add
 // up to (1+overage) times each limit.
 func New(hosts int, overage float64) *Allocator {
-	return &Allocator{shares: map[string]*localShare{}, hosts: max(hosts, 1), zoneHosts: 1, liveHosts: 1, overage: overage}
+	return &Allocator{shares: map[string]*localShare{}, hosts: max(hosts, 1), poolHosts: 1, liveHosts: 1, overage: overage}
 }
 
 // SetLimits replaces the limits. The shares of limits that stay keep their
@@ -88,7 +88,7 @@
 // Fleet holds the counts of hosts and the demand reported by the other hosts.
 type Fleet struct {
 	Hosts       int                // expected hosts, this one included
-	ZoneHosts   int                // those of them in this host's zone
+	PoolHosts   int                // live hosts of this host's group, which share pooled limits
 	Live        int                // live hosts, this one included
 	OtherDemand map[string]float64 // requests a second at the other hosts, by limit
 }
@@ -100,7 +100,7 @@
 	defer a.mu.Unlock()
 	liveHosts, demand := others.Live, others.OtherDemand
 	a.hosts = max(others.Hosts, liveHosts, 1)
-	a.zoneHosts = max(1, min(others.ZoneHosts, a.hosts))
+	a.poolHosts = max(1, min(others.PoolHosts, a.hosts))
 	a.liveHosts = max(liveHosts, 1)
 	span := now - a.lastSample
 	for name, s := range a.shares {
@@ -129,14 +129,15 @@
 // once while it used the old demand of the others, all shares would rise.
 func (s *localShare) effectiveDemand() float64 { return min(s.demand, s.demandHistory[0]) }
 
-// fraction returns the host's share as a fraction of the limit, or the zone's
-// share if the limit is pooled. Hosts that cannot reach each other take no more
+// fraction returns the host's share as a fraction of the limit, or the group's
+// share if the limit is pooled. Only live hosts of the group count, since the hosts
+// of a group that cannot reach each other form groups of their own. Hosts that cannot reach each other take no more
 // than their even shares together.
 func (a *Allocator) fraction(s *localShare) float64 {
 	perHost := 1 / float64(a.hosts)
 	representedHosts := 1.0
 	if a.pooled(s) {
-		representedHosts = float64(a.zoneHosts)
+		representedHosts = float64(a.poolHosts)
 	}
 	evenFraction := perHost * representedHosts
 	idleDemand := idleDemandFraction * s.limit.Rate * perHost
@@ -152,14 +153,14 @@
 	return s.limit.Burst < minBurstPerHost*float64(a.hosts)
 }
 
-// Pooled reports whether one host of each zone owns the zone's share of a limit
-// and the other hosts of the zone have to charge their requests there. It is
-// false in a zone of one host and for an unknown limit.
+// Pooled reports whether one host of each group owns the group's share of a limit
+// and the other hosts of the group have to charge their requests there. It is
+// false in a group of one host and for an unknown limit.
 func (a *Allocator) Pooled(name string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.shares[name]
-	return s != nil && a.zoneHosts > 1 && a.pooled(s)
+	return s != nil && a.poolHosts > 1 && a.pooled(s)
 }
 
 // resize sets the rate and capacity of a share's buckets. The tokens are kept, up
--- a/pkg/allocator/fleet_test.go
+++ b/pkg/allocator/fleet_test.go
@@ -204,14 +204,14 @@
 			delete(h.reports, from)
 		}
 	}
-	zoneHosts := 0
+	poolHosts := 0
 	for _, other := range f.hosts {
 		if other.zone == h.zone {
-			zoneHosts++
+			poolHosts++
 		}
 	}
 	h.allocator.SetFleet(now, allocator.Fleet{
-		Hosts: len(f.hosts), ZoneHosts: zoneHosts, Live: liveHosts, OtherDemand: map[string]float64{"w": otherDemand},
+		Hosts: len(f.hosts), PoolHosts: poolHosts, Live: liveHosts, OtherDemand: map[string]float64{"w": otherDemand},
 	})
 	for to := range f.hosts {
 		if to != i && f.rng.Float64() > 0.02 {
