--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -223,25 +223,35 @@
 
 // OtherLoad returns the summed load of all other hosts and zones, without expired
 // records, which it deletes. The load of the other zones is known from the zones
-// that reported to this host directly, and from the sum that a relay sent; either
-// may lack a zone, so the higher value of each counts.
+// that reported to this host directly, and from the sum that a relay sent. The
+// higher value of a demand counts, since either may lack a zone and a limit must
+// not be exceeded. Requests in flight are taken from the direct reports on a relay,
+// and otherwise from the sum.
 func (g *Gossiper) OtherLoad(now time.Duration) Load {
-	sum, direct, summed := newLoad(), newLoad(), Load{}
+	sum, direct, summed := newLoad(), newLoad(), newLoad()
+	hasDirect, hasSum := false, false
 	for scope, stored := range g.records {
 		switch {
 		case now-stored.receivedAt >= recordTTL:
 			delete(g.records, scope)
 		case scope == otherZonesScope:
-			summed = stored.record.Load
+			summed, hasSum = stored.record.Load, true
 		case strings.HasPrefix(scope, zoneScopePrefix):
 			sum.add(Load{Services: stored.record.Services})
 			direct.add(Load{Demands: stored.record.Demands, Running: stored.record.Running})
+			hasDirect = hasDirect || stored.direct
 		default:
 			sum.add(stored.record.Load)
 		}
 	}
-	direct.raiseTo(summed)
-	sum.add(direct)
+	running := direct.Running
+	if hasSum && (!hasDirect || !g.IsRelay(now)) {
+		running = summed.Running
+	}
+	for hash, rate := range summed.Demands {
+		direct.Demands[hash] = max(direct.Demands[hash], rate)
+	}
+	sum.add(Load{Demands: direct.Demands, Running: running})
 	return sum
 }
 
@@ -280,17 +290,6 @@
 	}
 }
 
-// raiseTo raises each demand and number of requests in flight to that of another
-// load, if it is lower.
-func (l Load) raiseTo(other Load) {
-	for hash, rate := range other.Demands {
-		l.Demands[hash] = max(l.Demands[hash], rate)
-	}
-	for hash, running := range other.Running {
-		l.Running[hash] = max(l.Running[hash], running)
-	}
-}
-
 // Add returns the sum of both.
 func (s ServiceLoad) Add(other ServiceLoad) ServiceLoad {
 	sum := ServiceLoad{Free: s.Free + other.Free, Bound: map[uint32]int{}}
