--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -20,10 +20,12 @@
 
 const (
 	inboxSize         = 256                     // messages
+	gossipInboxSize   = 128                     // gossip messages; further ones are dropped, the next round sends the state again
 	tickInterval      = 250 * time.Millisecond  // between checks for periodic work
 	heartbeatInterval = 500 * time.Millisecond  // between rounds of gossip messages
 	watcherTimeout    = 1700 * time.Millisecond // without gossip from a watching host; then this host watches itself
 	hostTimeout       = 2200 * time.Millisecond // four heartbeat intervals: some datagrams are lost
+	farHostTimeout    = 4 * time.Second         // the same for hosts of other regions: relays send there every second interval
 	sweepInterval     = 2 * time.Second         // between sweeps of idle connections and checks for impaired servers
 	longestWatchHosts = 1000                    // host count for which a follower uses its longest watches
 	reloadInterval    = 2 * time.Second         // the settings file may change without a signal
@@ -34,6 +36,7 @@
 type loop struct {
 	controller       *Controller
 	inbox            chan message
+	gossipInbox      chan message // gossip messages of other hosts
 	tracker          *tracker.Tracker
 	gossiper         *gossiper.Gossiper
 	registrar        *registrar.Registrar
@@ -42,6 +45,8 @@
 	kindOrder        []string      // the kinds, in the order of the positions in gossip messages
 	watching         bool          // this host watches the store
 	stopWatches      func()        // cancels the watches
+	discovering      bool          // the first list of registered hosts is being fetched
+	watchStartAt     time.Duration // a starting host does not watch the store before, while others of its zone do
 	watcherSeenAt    time.Duration // when a gossip message of another watching host of the zone last arrived
 	outageAt         time.Duration // when the store was last unreachable for more than this host; 0 if never
 	workCtx          context.Context
@@ -55,12 +60,14 @@
 	stopTimes        dispatcher.StopSchedule
 	registeredHosts  []gossiper.RegisteredHost // registered hosts except this one
 	hostCount        int                       // hosts that share the limits, this one included
-	zoneHostCount    int                       // those of them in this host's zone
+	hostNames        []string                  // their names, sorted; nil before they were first counted
 	gossipedAt       time.Duration
-	deferred         []gossiper.Recipient // recipients of gossip messages that the next tick sends
+	deferred         []gossiper.Recipient // recipients of the gossip round that get their messages later
+	sliceSize        int                  // recipients that get their messages at once
+	sliceInterval    time.Duration        // between slices of a gossip round
 	sweptAt          time.Duration
 	fetching         bool // objects are being fetched from another host
-	registrationSent bool // this host's registration was written, or is being written
+	registrationSent bool // this host's registration was written or is being written, and has not been seen since
 }
 
 // message is an input of the loop, which calls apply with the current time.
@@ -77,14 +84,17 @@
 	l := &loop{
 		controller: c,
 		inbox:      make(chan message, inboxSize),
-		tracker:    tracker.New(self, tracker.WithTimeout(hostTimeout)),
-		registrar:  registrar.New(),
-		followers:  map[string]*follower.Follower{},
-		kinds:      kinds,
-		caches:     map[string]*objectCache{},
-		hostCount:  c.settings.ExpectedHosts,
+
+		gossipInbox: make(chan message, gossipInboxSize),
+		tracker:     tracker.New(self, tracker.WithTimeout(hostTimeout), tracker.WithZoneTimeouts(zoneTimeouts(c.settings))),
+		registrar:   registrar.New(),
+		followers:   map[string]*follower.Follower{},
+		kinds:       kinds,
+		caches:      map[string]*objectCache{},
+		hostCount:   c.settings.ExpectedHosts,
 	}
-	l.gossiper = gossiper.New(c.settings.Host, c.settings.Zone, l.tracker, c.settings.Seeds)
+	l.gossiper = gossiper.New(c.settings.Host, c.settings.Zone, l.tracker, c.settings.Seeds,
+		gossiper.WithRegions(c.settings.Regions))
 	l.kindOrder = []string{kinds.Config, kinds.Servers, kinds.Evacuations, kinds.Hosts}
 	for _, kind := range l.kindOrder {
 		l.caches[kind] = newObjectCache(kind)
@@ -95,10 +105,25 @@
 	return l
 }
 
-// start starts the watches and the loop; both end with ctx.
+// zoneTimeouts returns the heartbeat timeouts of the zones of other regions.
+func zoneTimeouts(settings *loader.Deployment) map[string]time.Duration {
+	timeouts := map[string]time.Duration{}
+	for zone, region := range settings.Regions {
+		if region != settings.Region {
+			timeouts[zone] = farHostTimeout
+		}
+	}
+	return timeouts
+}
+
+// start starts the loop, and the first list of registered hosts, which decides
+// whether this host starts to watch the store at once. Both end with ctx.
 func (l *loop) start(ctx context.Context) {
 	l.workCtx = ctx
-	l.startWatches()
+	l.discovering = true
+	l.registrationSent = l.controller.settings.FirstStart
+	l.stopWatches = func() {}
+	go l.discover(ctx)
 	go l.run(ctx)
 }
 
@@ -116,6 +141,9 @@
 // watcherTimeout. It stops the watches if neither holds and the caches are
 // complete. Hosts that do not watch get the objects from those that do.
 func (l *loop) updateWatchRole(now time.Duration) {
+	if l.discovering || now < l.watchStartAt {
+		return
+	}
 	l.gossiper.SetStoreUnreachable(l.controller.settings.Host, l.storeUnreachable())
 	elected := l.gossiper.WatchesStore(now) || now-l.watcherSeenAt >= watcherTimeout
 	switch {
@@ -147,21 +175,46 @@
 func (l *loop) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case m := <-l.inbox:
-			m.apply(l, l.controller.clock.Now())
-		case <-ticker.C:
-			l.tick(l.controller.clock.Now())
-		}
+	for ctx.Err() == nil {
+		l.step(ctx, ticker.C)
+	}
+}
+
+// step waits for the next input and processes it. Gossip comes last: on a host that
+// is short of processor time a change of the store must not wait behind it.
+func (l *loop) step(ctx context.Context, ticks <-chan time.Time) {
+	select {
+	case m := <-l.inbox:
+		m.apply(l, l.controller.clock.Now())
+		return
+	case <-ticks:
+		l.tick(l.controller.clock.Now())
+		return
+	default:
+	}
+	select {
+	case <-ctx.Done():
+	case m := <-l.inbox:
+		m.apply(l, l.controller.clock.Now())
+	case <-ticks:
+		l.tick(l.controller.clock.Now())
+	case m := <-l.gossipInbox:
+		m.apply(l, l.controller.clock.Now())
 	}
 }
 
 // send queues a message for the loop. It blocks while the inbox is full.
 func (l *loop) send(m message) { l.inbox <- m }
 
+// sendReceivedGossip queues a gossip message for the loop, or drops it when many
+// are waiting.
+func (l *loop) sendReceivedGossip(m message) {
+	select {
+	case l.gossipInbox <- m:
+	default:
+	}
+}
+
 // storeUpdate is an update from the follower of one kind.
 type storeUpdate struct{ follower.Update }
 
@@ -219,8 +272,6 @@
 		l.gossipedAt = now
 		l.applyPeerState(now)
 		l.startGossipRound(now)
-	} else {
-		l.sendDeferred(now)
 	}
 	if now-l.sweptAt >= sweepInterval {
 		l.sweptAt = now
@@ -242,21 +293,22 @@
 			f.SetWatcherCount(watcherCount(live))
 		}
 	}
+	owners := l.limitOwners(live)
 	l.controller.allocator.SetFleet(now, allocator.Fleet{
-		Hosts: l.hostCount, ZoneHosts: l.zoneHostCount, Live: len(live), OtherDemand: l.remoteDemand(reported),
+		Hosts: l.hostCount, PoolHosts: len(owners), Live: len(live), OtherDemand: l.remoteDemand(reported),
 	})
 	l.controller.placer.SetRemoteRunning(l.remoteRunning(reported))
 	l.controller.placer.SetDemand(now, l.regionDemand(now))
-	l.controller.charger.SetHosts(l.limitOwners(live))
+	l.controller.charger.SetHosts(owners)
 	l.controller.updateLookups(live)
 }
 
-// limitOwners returns the live hosts of this host's zone that may own a pooled
-// limit for it.
+// limitOwners returns the live hosts of this host's region, which share pooled
+// limits: a charge at any of them takes a few milliseconds.
 func (l *loop) limitOwners(live []tracker.Host) []tracker.Host {
 	var own []tracker.Host
 	for _, host := range live {
-		if host.Zone == l.controller.settings.Zone && (host.State == tracker.Serving || host.ID.Name == l.controller.settings.Host) {
+		if l.controller.settings.Regions[host.Zone] == l.controller.settings.Region && (host.State == tracker.Serving || host.ID.Name == l.controller.settings.Host) {
 			own = append(own, host)
 		}
 	}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -35,50 +36,71 @@
 	l.sendMessages(now, l.gossiper.Recipients(now))
 }
 
-// startGossipRound sends half of the gossip messages that are due, and defers
-// the others to the next tick: what one host sends at once must fit into the
-// queue of its network link.
+// recipientsPerSlice is the number of gossip messages that are sent at once. What a
+// host sends at once must fit into the queue of its network link.
+const recipientsPerSlice = 4
+
+// startGossipRound divides the gossip messages that are due into slices, which are
+// sent at equal intervals until the next round.
 func (l *loop) startGossipRound(now time.Duration) {
-	var first []gossiper.Recipient
-	l.deferred = nil
+	l.sendDeferred(now)
 	l.gossiper.StartRound(now, l.healthReports(now))
-	for i, recipient := range l.gossiper.Recipients(now) {
-		if i%2 == 0 {
-			first = append(first, recipient)
-		} else {
-			l.deferred = append(l.deferred, recipient)
-		}
-	}
-	l.sendMessages(now, first)
+	l.deferred = l.gossiper.RoundRecipients(now)
+	slices := max(2, (len(l.deferred)+recipientsPerSlice-1)/recipientsPerSlice)
+	l.sliceInterval = heartbeatInterval / time.Duration(slices)
+	l.sliceSize = (len(l.deferred) + slices - 1) / slices
+	l.sendSlice(now)
 }
 
-// sendDeferred sends the gossip messages that the previous tick deferred.
-func (l *loop) sendDeferred(now time.Duration) {
+// sendSlice sends the next slice of the gossip round, and schedules the one after
+// it.
+func (l *loop) sendSlice(now time.Duration) {
+	n := min(l.sliceSize, len(l.deferred))
+	slice := l.deferred[:n]
+	l.deferred = l.deferred[n:]
+	l.sendMessages(now, slice)
 	if len(l.deferred) > 0 {
-		l.sendMessages(now, l.deferred)
-		l.deferred = nil
+		round := l.gossipedAt
+		time.AfterFunc(l.sliceInterval, func() { l.send(&sliceDue{round: round}) })
+	}
+}
+
+// sliceDue makes the loop send the next slice of a gossip round, unless another
+// round has begun.
+type sliceDue struct{ round time.Duration }
+
+func (m *sliceDue) apply(l *loop, now time.Duration) {
+	if m.round == l.gossipedAt {
+		l.sendSlice(now)
 	}
 }
 
+// sendDeferred sends the gossip messages of the round that were not sent yet.
+func (l *loop) sendDeferred(now time.Duration) {
+	l.sendMessages(now, l.deferred)
+	l.deferred = nil
+}
+
 // sendMessages sends the current gossip message of this host to each recipient.
 func (l *loop) sendMessages(now time.Duration, recipients []gossiper.Recipient) {
 	load := l.localLoad()
 	messages := map[recipientClass]*peerv1.Greeting{}
 	for _, recipient := range recipients {
-		class := recipientClass{recipient.OtherZone, recipient.Full}
+		class := recipientClass{recipient.OtherZone, strings.Join(recipient.FullZones, ",")}
 		if messages[class] == nil {
-			messages[class] = l.gossipMessage(now, class, load)
+			messages[class] = l.gossipMessage(now, recipient, load)
 		}
+		messages[class].Digests = messenger.EncodeDigests(l.gossiper.DigestsFor(now, recipient))
 		messages[class].Evidence = messenger.EncodeHealthReports(l.gossiper.HealthReportsFor(recipient))
 		l.controller.sendDatagram(recipient.Control, messages[class])
 	}
 }
 
 // recipientClass is a class of hosts that get the same gossip message at one time,
-// except for its health reports.
+// except for its digests and health reports.
 type recipientClass struct {
-	foreign bool // in other zones
-	full    bool // that need full heartbeats, not compact ones
+	foreign   bool   // in other zones
+	fullZones string // zones whose hosts they may lack
 }
 
 // announceChanges sends gossip messages to the hosts of this host's zone at once,
@@ -88,25 +110,43 @@
 	if !l.watching {
 		return
 	}
-	var sameZone []gossiper.Recipient
 	for _, recipient := range l.gossiper.Recipients(now) {
 		if !recipient.OtherZone {
-			sameZone = append(sameZone, recipient)
+			l.controller.sendDatagram(recipient.Control, l.announcement(now, recipient))
 		}
 	}
-	l.sendMessages(now, sameZone)
 }
 
-// gossipMessage returns the message for a class of recipients, without health
-// reports.
-func (l *loop) gossipMessage(now time.Duration, class recipientClass, load gossiper.Load) *peerv1.Greeting {
-	m := &peerv1.Greeting{
-		Digest:    l.gossiper.Digest(now),
-		Watching:  l.watching,
-		StoreLost: l.storeOutage(now),
-		Blind:     l.storeUnreachable(),
-		Records:   messenger.EncodeLoadRecords(l.gossiper.LoadRecords(now, load, class.foreign)),
-	}
+// announcement returns a message that tells a host of this zone which revisions
+// this host has, without load and heartbeats that the next round sends anyway.
+func (l *loop) announcement(now time.Duration, recipient gossiper.Recipient) *peerv1.Greeting {
+	m := l.storeState(now)
+	heartbeats := []tracker.Heartbeat{l.tracker.NextHeartbeat()}
+	m.Sender = heartbeats[0].ID.Incarnation
+	full, compact := l.gossiper.HeartbeatsFor(now, heartbeats, recipient)
+	m.Beats = messenger.EncodeHeartbeats(full)
+	m.Pulses = messenger.EncodeCompactHeartbeats(compact)
+	m.Digests = messenger.EncodeDigests(l.gossiper.DigestsFor(now, recipient))
+	return m
+}
+
+// gossipMessage returns the message for the class of a recipient, without digests
+// and health reports.
+func (l *loop) gossipMessage(now time.Duration, recipient gossiper.Recipient, load gossiper.Load) *peerv1.Greeting {
+	m := l.storeState(now)
+	m.Records = messenger.EncodeLoadRecords(l.gossiper.LoadRecords(now, load, recipient.OtherZone))
+	heartbeats := l.tracker.Heartbeats(now)
+	m.Sender = heartbeats[0].ID.Incarnation
+	full, compact := l.gossiper.HeartbeatsFor(now, heartbeats, recipient)
+	m.Beats = messenger.EncodeHeartbeats(full)
+	m.Pulses = messenger.EncodeCompactHeartbeats(compact)
+	return m
+}
+
+// storeState returns a message with what this host knows about the store and its
+// objects.
+func (l *loop) storeState(now time.Duration) *peerv1.Greeting {
+	m := &peerv1.Greeting{Watching: l.watching, StoreLost: l.storeOutage(now), Blind: l.storeUnreachable()}
 	if since := now - l.outageAt; l.outageAt > 0 && since < outageRetention {
 		m.LostBefore = uint32(since.Milliseconds()) + 1
 	}
@@ -117,34 +157,9 @@
 		}
 		m.Positions = append(m.Positions, revision)
 	}
-	heartbeats := l.tracker.Heartbeats(now)
-	m.Sender = heartbeats[0].ID.Incarnation
-	if !class.full && (class.foreign || !l.gossiper.IsRelay(now)) {
-		heartbeats = l.ownZoneHeartbeats(heartbeats) // the zone's relays send heartbeats of other zones within it
-	}
-	if class.full {
-		m.Beats = messenger.EncodeHeartbeats(heartbeats)
-		return m
-	}
-	compact := make([]tracker.CompactHeartbeat, 0, len(heartbeats))
-	for _, b := range heartbeats {
-		compact = append(compact, tracker.CompactHeartbeat{Incarnation: b.ID.Incarnation, Counter: b.Counter, State: b.State})
-	}
-	m.Pulses = messenger.EncodeCompactHeartbeats(compact)
 	return m
 }
 
-// ownZoneHeartbeats returns the heartbeats of hosts in this host's zone.
-func (l *loop) ownZoneHeartbeats(heartbeats []tracker.Heartbeat) []tracker.Heartbeat {
-	var own []tracker.Heartbeat
-	for _, b := range heartbeats {
-		if b.Zone == l.controller.settings.Zone {
-			own = append(own, b)
-		}
-	}
-	return own
-}
-
 // sendDatagram sends a gossip message to the peer port of the host with the
 // given control address. Delivery is not guaranteed.
 func (c *Controller) sendDatagram(control string, m *peerv1.Greeting) {
@@ -180,7 +195,7 @@
 			klog.InfoS("invalid datagram ignored", "bytes", n, "cause", err.Error())
 			continue
 		}
-		c.loop.send(&gossipReceived{m})
+		c.loop.sendReceivedGossip(&gossipReceived{m})
 	}
 }
 
@@ -188,7 +203,7 @@
 type gossipReceived struct{ *peerv1.Greeting }
 
 func (m *gossipReceived) apply(l *loop, now time.Duration) {
-	liveBefore := len(l.tracker.Live(now))
+	liveBefore := l.tracker.LiveCount(now)
 	l.tracker.Apply(now, messenger.DecodeHeartbeats(m.GetBeats())...)
 	l.tracker.ApplyCompact(now, messenger.DecodeCompactHeartbeats(m.GetPulses()))
 	if l.tracker.Superseded() {
@@ -202,7 +217,7 @@
 	if !known {
 		return // the digest of this host's next message makes the sender send full heartbeats
 	}
-	l.gossiper.Apply(now, host.ID.Name, host.Zone, m.GetDigest(), messenger.DecodeLoadRecords(m.GetRecords()))
+	l.gossiper.Apply(now, host.ID.Name, host.Zone, messenger.DecodeDigests(m.GetDigests()), messenger.DecodeLoadRecords(m.GetRecords()))
 	l.gossiper.SetStoreUnreachable(host.ID.Name, m.GetBlind())
 	l.applyHealthReports(now, host.Zone, messenger.DecodeHealthReports(m.GetEvidence()))
 	for i, revision := range m.GetPositions() {
@@ -220,7 +235,7 @@
 	if m.GetWatching() && host.Zone == l.controller.settings.Zone {
 		l.watcherSeen(now, m.GetStoreLost())
 	}
-	if liveNow := len(l.tracker.Live(now)); liveNow != liveBefore {
+	if liveNow := l.tracker.LiveCount(now); liveNow != liveBefore {
 		klog.InfoS("number of live hosts changed", "hosts", liveNow, "sender", host.ID.Name)
 		l.applyPeerState(now)
 	}
--- a/internal/controller/registration.go
+++ b/internal/controller/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,8 +21,8 @@
 }
 
 // applyHosts applies the registered hosts, and registers this host if its own
-// registration is missing or out of date. After a successful write it does not
-// write again.
+// registration is missing or out of date. After a write it does not write again
+// until the registration was seen.
 func (l *loop) applyHosts(now time.Duration) {
 	var registered []gossiper.RegisteredHost
 	own := l.ownRegistration()
@@ -41,7 +42,9 @@
 	l.registeredHosts = registered
 	l.gossiper.SetRegisteredHosts(registered)
 	l.countHosts(now)
-	if !upToDate && !l.registrationSent {
+	if upToDate {
+		l.registrationSent = false
+	} else if !l.registrationSent {
 		l.registrationSent = true
 		go l.register(own)
 	}
@@ -92,28 +95,21 @@
 // counts by its heartbeats.
 func (l *loop) countHosts(now time.Duration) {
 	names := []string{l.controller.settings.Host}
-	zones := []string{l.controller.settings.Zone}
 	seen := map[string]bool{l.controller.settings.Host: true}
 	for _, host := range l.tracker.Known(now) {
 		seen[host.ID.Name] = true
 		names = append(names, host.ID.Name)
-		zones = append(zones, host.Zone)
 	}
 	for _, host := range l.registeredHosts {
 		if !seen[host.Name] {
 			names = append(names, host.Name)
-			zones = append(zones, host.Zone)
-		}
-	}
-	l.zoneHostCount = 0
-	for _, zone := range zones {
-		if zone == l.controller.settings.Zone {
-			l.zoneHostCount++
 		}
 	}
-	if len(names) == l.hostCount {
+	slices.Sort(names)
+	if slices.Equal(names, l.hostNames) {
 		return
 	}
+	l.hostNames = names
 	l.hostCount = len(names)
 	l.controller.placer.SetHosts(names)
 	l.controller.dispatcher.SetRetries(retryShare(l.controller.settings, l.hostCount))
