placer: run a request cold at a free server rather than refuse it, while there are many

A request that would wait too long at its best server was refused though others were idle. Change: below 0.7 requests per slot over the service, it goes to the first server of its object's order that has a free slot, which is warm for it from then on.

--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -11,6 +11,7 @@
 	failurePenalty     = 2.0                    // cost of a failed attempt, in latency goals
 	warmCopies         = 1                      // number of servers at the head of an object's order that are assumed to have it warm
 	switchCostRatio    = 0.85                   // a later server must cost less than this share of an earlier one
+	spareUtilization   = 0.7                    // requests per slot of a service up to which a request runs cold rather than be refused
 	maxLateWait        = 0.3                    // longest wait of a request that will miss its latency goal, as a share of the goal
 	noServerRetryDelay = 500 * time.Millisecond // registrations change about this often when servers come back
 	maxRetryDelay      = 2 * time.Second        // callers wait no longer than a third of their time
@@ -97,6 +98,9 @@
 		i := cheapest(candidates)
 		found := candidates[i]
 		if excess := c.excess(found); excess > 0 {
+			if spare, ok := c.spare(key); ok {
+				return spare, true, 0
+			}
 			return candidate{}, false, excess
 		}
 		if c.placer.takeAllowance(c.now, found.server) {
@@ -107,6 +111,24 @@
 	return candidate{}, false, 0
 }
 
+// spare returns the first server of the object's order that has a free slot, if
+// the service as a whole has enough of them.
+func (c *choice) spare(key objectKey) (candidate, bool) {
+	if key.object == "" || c.pool.load(c.now) > spareUtilization*float64(c.pool.slots) {
+		return candidate{}, false
+	}
+	for i, s := range c.pool.order(key).all {
+		if !c.eligible(s) || !s.usable(c.now) {
+			continue
+		}
+		next := c.candidate(key, s, i)
+		if next.wait == 0 && c.excess(next) == 0 && c.placer.takeAllowance(c.now, s) {
+			return next, true
+		}
+	}
+	return candidate{}, false
+}
+
 // cheapest returns the index of the cheapest candidate. A later candidate
 // counts as cheaper only if it costs less than switchCostRatio of the earlier
 // one.
--- a/pkg/placer/loads_test.go
+++ b/pkg/placer/loads_test.go
@@ -86,6 +86,8 @@
 	MinOnTime float64 `yaml:"min-on-time"`
 	MaxLost   float64 `yaml:"max-lost"`
 	MaxLate   float64 `yaml:"max-late"`
+	// Largest share of refused requests; 0 sets no bound.
+	MaxRefused float64 `yaml:"max-refused"`
 }
 
 func newSimulation(l workload, seed uint64) *simulation {
@@ -302,6 +304,7 @@
 			is.True(float64(got.onTime) >= l.MinOnTime*total)
 			is.True(float64(got.late) <= l.MaxLate*total)
 			is.True(float64(got.lost) <= l.MaxLost*total)
+			is.True(l.MaxRefused == 0 || float64(got.refused) <= l.MaxRefused*total)
 		})
 	}
 }
--- a/pkg/placer/pool.go
+++ b/pkg/placer/pool.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"sort"
+	"time"
 )
 
 const (
@@ -69,6 +70,15 @@
 	p.setOrderShares(p.split.regionShares)
 }
 
+// load estimates the requests at all servers.
+func (p *pool) load(now time.Duration) float64 {
+	sum := 0.0
+	for _, s := range p.servers {
+		sum += s.load(now)
+	}
+	return sum
+}
+
 const minShareSum = 1e-6 // prevents a division by 0 when no region has spare slots
 
 func (p *pool) allRegions() map[string]bool {
