dispatcher: bound the memory of request bodies, test uploads

Cause: each request held up to 64 KiB of its body, so that some 3,000 uploads at once exceed the 184 MB of a small host, whose process is then ended. Change: an eighth of the process's memory for bodies; what does not fit is refused at once as not run (no-memory), with Retry-After. TestBodiesBeyondTheMemoryAreRefused failed before (200 for the second body).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -123,7 +123,8 @@
 	headers := platform.HeaderNames()
 	c.roundTripper = roundtripper.New(headers, settings.MaxDescriptors/idleDescriptorDivisor)
 	c.dispatcher = dispatcher.New(headers, platform, c.clock, c.charger, c.placer, c.roundTripper, c.recorder,
-		dispatcher.WithRetries(retryShare(settings, settings.ExpectedHosts)))
+		dispatcher.WithRetries(retryShare(settings, settings.ExpectedHosts)),
+		dispatcher.WithBodyMemory(int64(settings.MemoryMB)<<20/bodyMemoryDivisor))
 	c.pendingConns = newPendingConns()
 	c.requestCtx, c.cancelRequests = context.WithCancel(context.Background())
 	c.loop = newLoop(c)
@@ -134,6 +135,7 @@
 	usedOverageShare      = 0.5 // of the allowed rate overage; the rest covers hosts whose views of the others differ
 	idleDescriptorDivisor = 4   // one idle backend connection per this many file descriptors; callers need most of them
 	usedRetryShare        = 0.6 // of the retry budget
+	bodyMemoryDivisor     = 8   // share of the process's memory for request bodies, which also take buffers of connections
 )
 
 // retryShare returns a host's share of the retry budget, which is divided by the
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -212,6 +212,7 @@
 	select {
 	case l.gossipInbox <- m:
 	default:
+		l.controller.recorder.Scope().Counter("gossip_dropped").Inc(1)
 	}
 }
 
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -58,6 +58,7 @@
 	lastPick     placer.Pick
 	attemptLog   string // results of the attempts, for the request's log line
 	mayHaveRun   bool   // an attempt ended without proof that the request was not executed
+	bodyBytes    int64  // reserved for the body
 }
 
 // serve responds to the request with the response of a backend server or a
@@ -80,6 +81,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline-c.dispatcher.clock.Now())
 	defer cancel()
+	defer func() { c.dispatcher.bodies.release(c.bodyBytes) }()
 	if refusal := c.readBody(); refusal != nil {
 		c.refund(refusal)
 		return refusal
@@ -180,6 +182,14 @@
 	if c.r.ContentLength == 0 {
 		return nil
 	}
+	size := int64(forwarder.MaxBuffered)
+	if c.r.ContentLength > 0 {
+		size = min(size, c.r.ContentLength)
+	}
+	if !c.dispatcher.bodies.reserve(size) {
+		return unavailable(header.ReasonNoMemory, "the host holds too many request bodies", c.retryAfter(0))
+	}
+	c.bodyBytes = size
 	if err := c.setReadDeadline(c.route.Timeout()); err != nil {
 		return admitter.RefuseNotRun(http.StatusBadRequest, header.ReasonBadRequest, "the body cannot be read", 0)
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -114,6 +114,7 @@
 	mu           sync.Mutex
 	budgets      map[string]*limiter.RetryBudget // by service
 	splitter     *splitter
+	bodies       bodyBudget
 }
 
 // Option sets one property of a dispatcher.
@@ -124,6 +125,12 @@
 	return func(c *Dispatcher) { c.retries = r }
 }
 
+// WithBodyMemory limits the bytes of request bodies that the host holds at one
+// time. Requests whose bodies do not fit are refused.
+func WithBodyMemory(bytes int64) Option {
+	return func(c *Dispatcher) { c.bodies.limit = bytes }
+}
+
 // New returns a dispatcher that refuses all requests until a snapshot is set.
 func New(headerNames header.Names, codec HeaderCodec, clock *timekeeper.Clock, rateLimiter RateLimiter, placer Placer, roundTripper RoundTripper, rec *recorder.Recorder, options ...Option) *Dispatcher {
 	c := &Dispatcher{
@@ -156,6 +163,9 @@
 // InFlight returns the number of requests being served.
 func (c *Dispatcher) InFlight() int64 { return c.inFlight.Load() }
 
+// BodyBytes returns the bytes of request bodies that the host holds.
+func (c *Dispatcher) BodyBytes() int64 { return c.bodies.held.Load() }
+
 // budget returns the retry budget of a service, which it creates on first use.
 func (c *Dispatcher) budget(service string) *limiter.RetryBudget {
 	c.mu.Lock()
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -59,7 +59,7 @@
 
 const key = "key-of-w"
 
-func newTestHost(t *testing.T, count int) *testHost {
+func newTestHost(t *testing.T, count int, options ...dispatcher.Option) *testHost {
 	s := &testHost{t: t, clock: timekeeper.New()}
 	s.placer = placer.New("host", placer.Location{Zone: "z", Region: "r"}, map[string]string{"z": "r", "y": "q"})
 	rates := allocator.New(1, 0)
@@ -69,7 +69,7 @@
 	roundTripper := roundtripper.New(headerNames, 100)
 	t.Cleanup(roundTripper.Close)
 	s.dispatcher = dispatcher.New(headerNames, headerCodec{}, s.clock, charger.New("host", rates, nil), s.placer, roundTripper, rec,
-		dispatcher.WithRetries(dispatcher.Retries{Ratio: 0.2, Burst: 10}))
+		append(options, dispatcher.WithRetries(dispatcher.Retries{Ratio: 0.2, Burst: 10}))...)
 	for i := range count {
 		backend, err := target.Start(fmt.Sprintf("i-%d", i), headerNames)
 		if err != nil {
@@ -183,6 +183,7 @@
 	Path   string
 	Method string
 	Body   string
+	Size   int            // length of the body, if it is not given
 	Faults []target.Fault // of the attempts, in order
 	Status int
 	Runs   int
@@ -206,9 +207,15 @@
 			} else {
 				s.backends[0].QueueFaults(c.Faults...)
 			}
+			if c.Size > 0 {
+				c.Body = strings.Repeat("x", c.Size)
+			}
 			got := s.send(c.Method, c.Path, "id-1", c.Body)
 			is.Equal(got.status, c.Status)
 			is.Equal(len(s.executions()), c.Runs)
+			for _, run := range s.executions() {
+				is.Equal(run.Body, c.Body)
+			}
 			if c.Status == http.StatusOK {
 				is.Equal(got.body, "answer to id-1")
 				is.Equal(got.header.Get(headerNames.ResponseStamp), "s.id-1")
@@ -325,6 +332,26 @@
 	}
 }
 
+// A host that holds as many request bodies as its memory allows refuses further
+// ones at once, and accepts them again when the others are done.
+func TestBodiesBeyondTheMemoryAreRefused(t *testing.T) {
+	is := is.New(t)
+	s := newTestHost(t, 1, dispatcher.WithBodyMemory(15))
+	s.backends[0].QueueFaults(target.Hang)
+	held := make(chan result)
+	go func() { held <- s.send(http.MethodPost, "/order/", "a", "ten  bytes") }()
+	for s.dispatcher.BodyBytes() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	got := s.send(http.MethodPost, "/order/", "b", "ten  bytes")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.header.Get("Retry-After") != "")
+	is.Equal(s.send(http.MethodGet, "/read/", "c", "").status, http.StatusOK) // it has no body
+	is.Equal((<-held).status, http.StatusGatewayTimeout)
+	is.Equal(s.send(http.MethodPost, "/order/", "d", "ten  bytes").status, http.StatusOK)
+	is.Equal(s.dispatcher.BodyBytes(), int64(0))
+}
+
 // A request whose body does not arrive never reached a backend server, so it does
 // not use up the rate of its workspace.
 func TestRequestWithoutItsBodyIsNotCharged(t *testing.T) {
--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -5,10 +5,11 @@
 	"sync"
 )
 
-const (
-	maxReplayable = 64 << 10 // bytes of a request body that are buffered for another attempt
-	readAheadSize = 4 << 10  // bytes per read
-)
+// MaxBuffered is the number of bytes of a request body that are buffered for
+// another attempt.
+const MaxBuffered = 64 << 10
+
+const readAheadSize = 4 << 10 // bytes per read
 
 // Body is a request body that can be sent again until more bytes have been read
 // from it than its buffer holds. It is safe for concurrent use.
@@ -66,7 +67,7 @@
 func (b *Body) canPrefetch() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.readErr == nil && !b.overflow && len(b.buffered)+readAheadSize <= maxReplayable
+	return b.readErr == nil && !b.overflow && len(b.buffered)+readAheadSize <= MaxBuffered
 }
 
 // Buffered returns the buffered bytes, from the start of the body.
@@ -96,7 +97,7 @@
 	if err == io.EOF && b.onComplete != nil {
 		b.onComplete()
 	}
-	if b.overflow || len(b.buffered)+n > maxReplayable {
+	if b.overflow || len(b.buffered)+n > MaxBuffered {
 		b.overflow = true
 		return n, err
 	}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -46,6 +46,7 @@
 	ForgottenIdle     Fault = "forgotten-idle" // responds, and resets the connection when the next request arrives
 	EndlessSigned     Fault = "endless-signed" // sends a signed status 200 and a body that never ends
 	LongCutShort      Fault = "long-cut-short" // announces 2 MB, sends three quarters and closes the connection
+	ResetMidway       Fault = "reset-midway"   // reads the beginning of the body and resets the connection
 	StalledShed       Fault = "stalled-shed"   // like Shed, but the announced body never arrives
 )
 
@@ -199,6 +200,13 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		return err == nil
 	}
+	if fault == ResetMidway {
+		_, _ = io.CopyN(io.Discard, r.Body, 100)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return false
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return false
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -147,7 +147,7 @@
 	case header.ReasonStopping, header.ReasonNoConfig:
 		c.directory.markFailed(host)
 		return true, nil
-	case header.ReasonOverRate, header.ReasonQueueFull, header.ReasonQueueTimeout,
+	case header.ReasonOverRate, header.ReasonNoMemory, header.ReasonQueueFull, header.ReasonQueueTimeout,
 		header.ReasonNoBackend, header.ReasonShed:
 	default:
 		return false, nil
--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -40,6 +40,7 @@
 	ReasonServiceUnknown      = "service-unknown"
 	ReasonWorkspaceNotAllowed = "workspace-not-allowed"
 	ReasonOverRate            = "over-rate"
+	ReasonNoMemory            = "no-memory" // the host holds too many request bodies
 	ReasonQueueFull           = "queue-full"
 	ReasonQueueTimeout        = "queue-timeout"
 	ReasonNoBackend           = "no-backend-server"
