--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -4,8 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/netip"
-	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -16,8 +14,6 @@
 	"magnoliahill.example/magnoliahill/internal/messenger"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1/peerv1connect"
-	"magnoliahill.example/magnoliahill/pkg/gossiper"
-	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
 
 const (
@@ -30,154 +26,6 @@
 	stallTimeout = time.Second
 )
 
-// sendGossip sends gossip messages to all current recipients at once.
-func (l *loop) sendGossip(now time.Duration) {
-	l.deferred = nil
-	l.sendMessages(now, l.gossiper.Recipients(now))
-}
-
-// recipientsPerSlice is the number of gossip messages that are sent at once. What a
-// host sends at once must fit into the queue of its network link.
-const recipientsPerSlice = 4
-
-// startGossipRound divides the gossip messages that are due into slices, which are
-// sent at equal intervals until the next round.
-func (l *loop) startGossipRound(now time.Duration) {
-	l.sendDeferred(now)
-	l.gossiper.StartRound(now, l.healthReports(now))
-	l.deferred = l.gossiper.RoundRecipients(now)
-	slices := max(2, (len(l.deferred)+recipientsPerSlice-1)/recipientsPerSlice)
-	l.sliceInterval = heartbeatInterval / time.Duration(slices)
-	l.sliceSize = (len(l.deferred) + slices - 1) / slices
-	l.sendSlice(now)
-}
-
-// sendSlice sends the next slice of the gossip round, and schedules the one after
-// it.
-func (l *loop) sendSlice(now time.Duration) {
-	n := min(l.sliceSize, len(l.deferred))
-	slice := l.deferred[:n]
-	l.deferred = l.deferred[n:]
-	l.sendMessages(now, slice)
-	if len(l.deferred) > 0 {
-		round := l.gossipedAt
-		time.AfterFunc(l.sliceInterval, func() { l.send(&sliceDue{round: round}) })
-	}
-}
-
-// sliceDue makes the loop send the next slice of a gossip round, unless another
-// round has begun.
-type sliceDue struct{ round time.Duration }
-
-func (m *sliceDue) apply(l *loop, now time.Duration) {
-	if m.round == l.gossipedAt {
-		l.sendSlice(now)
-	}
-}
-
-// sendDeferred sends the gossip messages of the round that were not sent yet.
-func (l *loop) sendDeferred(now time.Duration) {
-	l.sendMessages(now, l.deferred)
-	l.deferred = nil
-}
-
-// sendMessages sends the current gossip message of this host to each recipient.
-func (l *loop) sendMessages(now time.Duration, recipients []gossiper.Recipient) {
-	load := l.localLoad()
-	messages := map[recipientClass]*peerv1.Greeting{}
-	for _, recipient := range recipients {
-		class := recipientClass{recipient.OtherZone, strings.Join(recipient.FullZones, ",")}
-		if messages[class] == nil {
-			messages[class] = l.gossipMessage(now, recipient, load)
-		}
-		messages[class].Digests = messenger.EncodeDigests(l.gossiper.DigestsFor(now, recipient))
-		messages[class].Evidence = messenger.EncodeHealthReports(l.gossiper.HealthReportsFor(recipient))
-		l.controller.sendDatagram(recipient.Control, messages[class])
-	}
-}
-
-// recipientClass is a class of hosts that get the same gossip message at one time,
-// except for its digests and health reports.
-type recipientClass struct {
-	foreign   bool   // in other zones
-	fullZones string // zones whose hosts they may lack
-}
-
-// announceChanges sends gossip messages to the hosts of this host's zone at once,
-// so that they fetch changes in the store. It does nothing on hosts that do not
-// watch the store.
-func (l *loop) announceChanges(now time.Duration) {
-	if !l.watching {
-		return
-	}
-	for _, recipient := range l.gossiper.Recipients(now) {
-		if !recipient.OtherZone {
-			l.controller.sendDatagram(recipient.Control, l.announcement(now, recipient))
-		}
-	}
-}
-
-// announcement returns a message that tells a host of this zone which revisions
-// this host has, without load and heartbeats that the next round sends anyway.
-func (l *loop) announcement(now time.Duration, recipient gossiper.Recipient) *peerv1.Greeting {
-	m := l.storeState(now)
-	heartbeats := []tracker.Heartbeat{l.tracker.NextHeartbeat()}
-	m.Sender = heartbeats[0].ID.Incarnation
-	full, compact := l.gossiper.HeartbeatsFor(now, heartbeats, recipient)
-	m.Beats = messenger.EncodeHeartbeats(full)
-	m.Pulses = messenger.EncodeCompactHeartbeats(compact)
-	m.Digests = messenger.EncodeDigests(l.gossiper.DigestsFor(now, recipient))
-	return m
-}
-
-// gossipMessage returns the message for the class of a recipient, without digests
-// and health reports.
-func (l *loop) gossipMessage(now time.Duration, recipient gossiper.Recipient, load gossiper.Load) *peerv1.Greeting {
-	m := l.storeState(now)
-	m.Records = messenger.EncodeLoadRecords(l.gossiper.LoadRecords(now, load, recipient.OtherZone))
-	heartbeats := l.tracker.Heartbeats(now)
-	m.Sender = heartbeats[0].ID.Incarnation
-	full, compact := l.gossiper.HeartbeatsFor(now, heartbeats, recipient)
-	m.Beats = messenger.EncodeHeartbeats(full)
-	m.Pulses = messenger.EncodeCompactHeartbeats(compact)
-	return m
-}
-
-// storeState returns a message with what this host knows about the store and its
-// objects.
-func (l *loop) storeState(now time.Duration) *peerv1.Greeting {
-	m := &peerv1.Greeting{Watching: l.watching, StoreLost: l.storeOutage(now), Blind: l.storeUnreachable()}
-	if since := now - l.outageAt; l.outageAt > 0 && since < outageRetention {
-		m.LostBefore = uint32(since.Milliseconds()) + 1
-	}
-	for _, kind := range l.kindOrder {
-		revision := int64(0)
-		if cache := l.caches[kind]; cache.listed {
-			revision = cache.revision
-		}
-		m.Positions = append(m.Positions, revision)
-	}
-	return m
-}
-
-// sendDatagram sends a gossip message to the peer port of the host with the
-// given control address. Delivery is not guaranteed.
-func (c *Controller) sendDatagram(control string, m *peerv1.Greeting) {
-	address, err := netip.ParseAddrPort(control)
-	if err != nil {
-		klog.InfoS("invalid control address of host", "control", control)
-		return
-	}
-	data, err := proto.Marshal(m)
-	if err != nil || len(data) > maxDatagramBytes {
-		klog.ErrorS(err, "gossip message not sent: not encodable or too large", "bytes", len(data))
-		return
-	}
-	peer := netip.AddrPortFrom(address.Addr(), uint16(c.settings.PeerPort))
-	// A lost datagram needs no retry: the next round sends the state again.
-	_, _ = c.udp.WriteToUDPAddrPort(data, peer)
-}
-
 // receiveGossip queues received gossip messages for the loop until the context ends
 // or the socket is closed.
 func (c *Controller) receiveGossip(ctx context.Context) {
--- a/internal/dispatcher/bodies.go
+++ b/internal/dispatcher/bodies.go
@@ -1,6 +1,14 @@
 package dispatcher
 
-import "sync/atomic"
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"magnoliahill.example/magnoliahill/internal/admitter"
+	"magnoliahill.example/magnoliahill/internal/forwarder"
+	"magnoliahill.example/magnoliahill/pkg/header"
+)
 
 // bodyBudget bounds the bytes of request bodies that the host holds at one time. A
 // host with little memory may have thousands of connections, each with an upload.
@@ -21,3 +29,37 @@
 }
 
 func (b *bodyBudget) release(bytes int64) { b.held.Add(-bytes) }
+
+// readBody buffers a short body before the request is sent, so that no backend
+// server waits for a slow caller.
+func (c *call) readBody() *admitter.Refusal {
+	c.body = forwarder.NewBody(c.r.Body)
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	size := int64(forwarder.MaxBuffered)
+	if c.r.ContentLength > 0 {
+		size = min(size, c.r.ContentLength)
+	}
+	if !c.dispatcher.bodies.reserve(size) {
+		return unavailable(header.ReasonNoMemory, "the host holds too many request bodies", c.retryAfter(0))
+	}
+	c.bodyBytes = size
+	if err := c.setReadDeadline(c.route.Timeout()); err != nil {
+		return admitter.RefuseNotRun(http.StatusBadRequest, header.ReasonBadRequest, "the body cannot be read", 0)
+	}
+	_, err := c.body.Prefetch()
+	if err == nil {
+		err = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		return admitter.RefuseNotRun(http.StatusRequestTimeout, header.ReasonBadRequest, "the body did not arrive", 0)
+	}
+	return nil
+}
+
+// setReadDeadline limits the time in which the rest of the request must arrive.
+// The HTTP server removes the limit before the connection's next request.
+func (c *call) setReadDeadline(limit time.Duration) error {
+	return http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(limit))
+}
