dispatcher: let the test of body memory wait for the request that it holds

It now waits for the execution, and holds the request on a route of a minute, so that no time limit passes meanwhile. It also checks the reason, and that nothing ran.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -15,6 +15,7 @@
 
 	"magnoliahill.example/magnoliahill/internal/dispatcher"
 	"magnoliahill.example/magnoliahill/internal/standin/target"
+	"magnoliahill.example/magnoliahill/pkg/header"
 	"magnoliahill.example/magnoliahill/pkg/placer"
 	"magnoliahill.example/magnoliahill/pkg/registrar"
 )
@@ -181,16 +182,19 @@
 	s := newTestHost(t, 1, dispatcher.WithBodyMemory(15))
 	s.backends[0].QueueFaults(target.Hang)
 	held := make(chan result)
-	go func() { held <- s.send(http.MethodPost, "/order/", "a", "ten  bytes") }()
-	for s.dispatcher.BodyBytes() == 0 {
+	go func() { held <- s.send(http.MethodPost, "/slow/", "a", "ten  bytes") }()
+	for len(s.executions()) == 0 { // until then another request may meet the fault
 		time.Sleep(time.Millisecond)
 	}
 	got := s.send(http.MethodPost, "/order/", "b", "ten  bytes")
 	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.header.Get(header.Reason), header.ReasonNoMemory)
 	is.True(got.header.Get("Retry-After") != "")
+	is.Equal(len(s.executions()), 1)
 	is.Equal(s.send(http.MethodGet, "/read/", "c", "").status, http.StatusOK) // it has no body
-	is.Equal((<-held).status, http.StatusGatewayTimeout)
-	is.Equal(s.send(http.MethodPost, "/order/", "d", "ten  bytes").status, http.StatusOK)
+	s.backends[0].Close()
+	is.Equal((<-held).status, http.StatusBadGateway)
+	is.True(s.send(http.MethodPost, "/order/", "d", "ten  bytes").header.Get(header.Reason) != header.ReasonNoMemory)
 	is.Equal(s.dispatcher.BodyBytes(), int64(0))
 }
 
--- a/internal/dispatcher/testhost_test.go
+++ b/internal/dispatcher/testhost_test.go
@@ -100,6 +100,7 @@
 		Routes: []*cataloger.Route{
 			route("read", cataloger.WithIdempotent(true), cataloger.WithPublic(true)),
 			route("order", cataloger.WithPublic(true)),
+			route("slow", cataloger.WithPublic(true), cataloger.WithTimeout(time.Minute)),
 			route("keyed"),
 			route("far", cataloger.WithPublic(true), cataloger.WithRouteHomeRegions([]string{"q"})),
 		},
