controller: list the store when fetching from a starting neighbour fails

With 3,000 backend servers the answer does not arrive within the 0.8 s of a fetch while all hosts of the zone ask, and each asked again instead of listing. TestStartingHostListsTheStoreWhenFetchingFails failed before.

--- a/internal/controller/discovery_test.go
+++ b/internal/controller/discovery_test.go
@@ -141,3 +141,14 @@
 	is.Equal(len(owners), 2)
 	is.Equal(owners[1].ID.Name, "in-near")
 }
+
+// A starting host that cannot fetch the objects from a host that listed the store,
+// for example because all of its zone do so at once, lists the store itself.
+func TestStartingHostListsTheStoreWhenFetchingFails(t *testing.T) {
+	is := is.New(t)
+	l := newTestLoop(t, "host")
+	l.discovering = false
+	l.watchStartAt = time.Hour
+	(&fetchResult{host: "127.0.0.1:1", err: errors.New("timed out")}).apply(l, time.Second)
+	is.True(l.watching)
+}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -182,6 +182,12 @@
 				cache.peerRevision = 0 // the next gossip message sets it again, maybe from another host
 			}
 		}
+		if !l.watching && !l.discovering && !l.synced() {
+			// The host that listed the store is overloaded or gone; a starting
+			// host must not wait for it.
+			klog.InfoS("store watches started", "sinceWatcherSeen", now-l.watcherSeenAt)
+			l.startWatches()
+		}
 		return
 	}
 	for _, wire := range m.lists {
