--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -67,6 +67,9 @@
 
 // sendMessages sends the current gossip message of this host to each recipient.
 func (l *loop) sendMessages(now time.Duration, recipients []gossiper.Recipient) {
+	if len(recipients) == 0 {
+		return
+	}
 	load := l.localLoad()
 	messages := map[recipientClass]*peerv1.Greeting{}
 	for _, recipient := range recipients {
@@ -105,11 +108,7 @@
 // this host has, without load and heartbeats that the next round sends anyway.
 func (l *loop) announcement(now time.Duration, recipient gossiper.Recipient) *peerv1.Greeting {
 	m := l.storeState(now)
-	heartbeats := []tracker.Heartbeat{l.tracker.NextHeartbeat()}
-	m.Sender = heartbeats[0].ID.Incarnation
-	full, compact := l.gossiper.HeartbeatsFor(now, heartbeats, recipient)
-	m.Beats = messenger.EncodeHeartbeats(full)
-	m.Pulses = messenger.EncodeCompactHeartbeats(compact)
+	l.addHeartbeats(now, m, recipient, []tracker.Heartbeat{l.tracker.NextHeartbeat()})
 	m.Digests = messenger.EncodeDigests(l.gossiper.DigestsFor(now, recipient))
 	return m
 }
@@ -119,12 +118,17 @@
 func (l *loop) gossipMessage(now time.Duration, recipient gossiper.Recipient, load gossiper.Load) *peerv1.Greeting {
 	m := l.storeState(now)
 	m.Records = messenger.EncodeLoadRecords(l.gossiper.LoadRecords(now, load, recipient.OtherZone))
-	heartbeats := l.tracker.Heartbeats(now)
+	l.addHeartbeats(now, m, recipient, l.tracker.Heartbeats(now))
+	return m
+}
+
+// addHeartbeats adds the heartbeats that a recipient is to get to a message. The
+// first one is this host's own.
+func (l *loop) addHeartbeats(now time.Duration, m *peerv1.Greeting, recipient gossiper.Recipient, heartbeats []tracker.Heartbeat) {
 	m.Sender = heartbeats[0].ID.Incarnation
 	full, compact := l.gossiper.HeartbeatsFor(now, heartbeats, recipient)
 	m.Beats = messenger.EncodeHeartbeats(full)
 	m.Pulses = messenger.EncodeCompactHeartbeats(compact)
-	return m
 }
 
 // storeState returns a message with what this host knows about the store and its
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -82,9 +82,8 @@
 		Zone: c.settings.Zone, Control: c.settings.ControlAddress, Data: c.settings.DataAddress, State: tracker.Leaving,
 	}
 	l := &loop{
-		controller: c,
-		inbox:      make(chan message, inboxSize),
-
+		controller:  c,
+		inbox:       make(chan message, inboxSize),
 		gossipInbox: make(chan message, gossipInboxSize),
 		tracker:     tracker.New(self, tracker.WithTimeout(hostTimeout), tracker.WithZoneTimeouts(zoneTimeouts(c.settings))),
 		registrar:   registrar.New(),
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -160,7 +160,7 @@
 			return host.ID.Name == g.self
 		}
 	}
-	return g.elected(now, 1)
+	return g.relayRole(now).rank == 0
 }
 
 // SetStoreUnreachable sets whether a host watches the store but cannot reach it.
@@ -172,11 +172,6 @@
 	}
 }
 
-// elected reports whether this host is among the first n of its zone.
-func (g *Gossiper) elected(now time.Duration, n int) bool {
-	return tracker.Elected(zoneRole, g.liveInZone(now), g.self, n)
-}
-
 func (g *Gossiper) liveInZone(now time.Duration) []tracker.Host {
 	var own []tracker.Host
 	for _, host := range g.tracker.Live(now) {
--- a/pkg/gossiper/health.go
+++ b/pkg/gossiper/health.go
@@ -32,7 +32,7 @@
 func (g *Gossiper) StartRound(now time.Duration, own HealthReports) {
 	toZone, toOtherZones := HealthReports{}, HealthReports{}
 	toZone.add(own)
-	if g.elected(now, 1) {
+	if g.relayRole(now).rank == 0 {
 		toZone.add(g.round.fromOtherZones)
 		toOtherZones.add(own)
 		toOtherZones.add(g.round.fromZone)
--- a/pkg/gossiper/membership.go
+++ b/pkg/gossiper/membership.go
@@ -90,7 +90,7 @@
 		case slices.Contains(recipient.FullZones, b.Zone):
 			full = append(full, b)
 		case b.Zone == g.zone || !ownZoneOnly:
-			compact = append(compact, tracker.CompactHeartbeat{Incarnation: b.ID.Incarnation, Counter: b.Counter, State: b.State})
+			compact = append(compact, b.Compact())
 		}
 	}
 	return full, compact
--- a/pkg/gossiper/recipients.go
+++ b/pkg/gossiper/recipients.go
@@ -152,7 +152,7 @@
 
 // IsRelay reports whether this host is a relay, which exchanges gossip with other
 // zones.
-func (g *Gossiper) IsRelay(now time.Duration) bool { return g.elected(now, relaysPerZone) }
+func (g *Gossiper) IsRelay(now time.Duration) bool { return g.relayRole(now).rank >= 0 }
 
 // RegisteredRank returns the place of this host in the ranking of the registered
 // hosts of its zone, live or not; 0 is the first.
--- a/pkg/tracker/compact.go
+++ b/pkg/tracker/compact.go
@@ -10,6 +10,11 @@
 	State       State
 }
 
+// Compact returns the heartbeat without the fields that seldom change.
+func (h Heartbeat) Compact() CompactHeartbeat {
+	return CompactHeartbeat{Incarnation: h.ID.Incarnation, Counter: h.Counter, State: h.State}
+}
+
 // Digest returns a hash of the live incarnations. It is equal on hosts that have
 // the same ones and almost never equal on others.
 func (t *Tracker) Digest(now time.Duration) uint64 {
@@ -45,7 +50,7 @@
 	heartbeats := t.Heartbeats(now)
 	compact := make([]CompactHeartbeat, 0, len(heartbeats))
 	for _, heartbeat := range heartbeats {
-		compact = append(compact, CompactHeartbeat{Incarnation: heartbeat.ID.Incarnation, Counter: heartbeat.Counter, State: heartbeat.State})
+		compact = append(compact, heartbeat.Compact())
 	}
 	return compact
 }
