controller: log where objects come from and when the store's revision decreases

The reports name a version that was acknowledged and not in force. A deaf watch has its line already (watch stalled).

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -236,6 +236,10 @@
 		if cache.unreachable || !cache.listed {
 			klog.InfoS("store reachable", "kind", u.Kind, "revision", u.Listed.Revision(), "objects", len(u.Listed.Items()))
 		}
+		if u.Listed.Revision() < cache.revision {
+			klog.InfoS("store revision decreased", "kind", u.Kind, "from", cache.revision, "revision", u.Listed.Revision())
+			l.controller.recorder.Scope().Counter("store_revision_decreased").Inc(1)
+		}
 		cache.unreachable = false
 		if u.Kind == l.kinds.Servers {
 			l.registrar.StoreRegained(now)
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -195,15 +195,15 @@
 		if cache == nil || l.watching && !cache.unreachable && cache.listed || wire.GetRevision() <= cache.appliedRevision() {
 			continue
 		}
-		l.applyFetched(now, cache, wire)
+		l.applyFetched(now, m.host, cache, wire)
 	}
 	l.fetchFromPeers(now)
 }
 
 // applyFetched merges the objects of one kind that another host returned.
-func (l *loop) applyFetched(now time.Duration, cache *objectCache, wire *peerv1.ObjectTable) {
+func (l *loop) applyFetched(now time.Duration, host string, cache *objectCache, wire *peerv1.ObjectTable) {
 	objects := messenger.DecodeObjects(wire)
-	klog.V(1).InfoS("objects fetched from host", "kind", cache.kind, "from", cache.revision,
+	klog.InfoS("objects fetched from host", "kind", cache.kind, "host", host, "from", cache.revision,
 		"revision", objects.Revision(), "objects", len(objects.Items()), "changes", wire.GetChanges())
 	changes := wire.GetChanges() && cache.listed
 	cache.merge(objects, wire.GetComplete(), changes)
