storer, controller, follower: compare positions of the store by era and revision

Cause: a store that comes back from a copy gives out revisions again, and the hosts took revisions as an order over all time. A cache's revision never decreased, gossip carried bare revisions, and a host that does not watch fetched only what lay above its own. It got nothing until the store had passed the revisions of before. A watch from a revision that had been given out again lacked the changes below it. Fix: a position is an era and a revision. A list of a later era replaces the cache, one of an earlier era is ignored; a watch that is answered from another era is replaced by a list; gossip names the era; a host that hears of a later one renews its watches at once; pages of two eras make no list. An answer without the header, or with one that is no positive whole number, belongs to the era that is known. The follower's new test fails without its part.

--- a/internal/controller/cache.go
+++ b/internal/controller/cache.go
@@ -12,56 +12,90 @@
 type objectCache struct {
 	kind         string
 	items        map[string]storer.Item
-	removed      []storer.Item // latest removals, in order of revision
-	historyStart int64         // all changes up to it are in items; later removals are in removed
-	revision     int64         // of the latest change; reported to other hosts; never decreases
-	listed       bool          // all objects were received once, from the store or another host
-	unreachable  bool          // this host's watch cannot reach the store
-
-	peerRevision   int64         // highest revision that another host reported
-	peerAddress    string        // control address of that host
-	peerAheadSince time.Duration // when another host first reported a higher revision than this host's
+	removed      []storer.Item   // latest removals of the present era, in order of revision
+	historyStart int64           // all changes of the present era up to it are in items; later removals are in removed
+	position     storer.Position // of the latest change; reported to other hosts; never decreases
+	listed       bool            // all objects were received once, from the store or another host
+	unreachable  bool            // this host's watch cannot reach the store
+
+	peerPosition   storer.Position // latest position that another host reported
+	peerAddress    string          // control address of that host
+	peerAheadSince time.Duration   // when another host first reported a later position than this host's
+	relistedEra    int64           // latest era of another host for which the watch was renewed
 }
 
 func newObjectCache(kind string) *objectCache {
 	return &objectCache{kind: kind, items: map[string]storer.Item{}}
 }
 
-// replaceAll replaces the cache by a complete list of the kind.
+// enterEra prepares the cache for a list or for changes at a position. Revisions
+// of earlier eras mean nothing in a later one. It returns false if the position
+// belongs to an earlier era than the cache.
+func (c *objectCache) enterEra(p storer.Position) bool {
+	if c.position.SameEra(p) {
+		c.position = storer.NewPosition(max(c.position.Era(), p.Era()), c.position.Revision())
+		return true
+	}
+	if p.Before(c.position) {
+		return false
+	}
+	c.position = storer.NewPosition(p.Era(), 0)
+	c.historyStart = 0
+	c.removed = nil
+	return true
+}
+
+// advance raises the cache's revision.
+func (c *objectCache) advance(revision int64) {
+	c.position = storer.NewPosition(c.position.Era(), max(c.position.Revision(), revision))
+}
+
+// replaceAll replaces the cache by a complete list of the kind. A list of an
+// earlier era is ignored.
 func (c *objectCache) replaceAll(all storer.ItemList) {
+	if !c.enterEra(all.Position()) {
+		return
+	}
 	c.listed = true
 	c.items = make(map[string]storer.Item, len(all.Items()))
 	for _, item := range all.Items() {
 		if !item.Deleted() {
 			c.items[item.Name()] = item
 		}
-		c.revision = max(c.revision, item.Revision())
+		c.advance(item.Revision())
 	}
 	// A list does not contain earlier removals, but it reflects them.
-	if all.Revision() >= c.peerRevision {
-		c.revision = max(c.revision, c.peerRevision)
+	if c.peerPosition.SameEra(c.position) && all.Revision() >= c.peerPosition.Revision() {
+		c.advance(c.peerPosition.Revision())
 	}
 	c.removed = nil
-	c.historyStart = max(all.Revision(), c.revision)
+	c.historyStart = max(all.Revision(), c.position.Revision())
 }
 
 // merge merges the objects of another host: all of them, or those that changed
-// since this cache's revision. After a merge of all objects, the history of
+// since this cache's position. After a merge of all objects, the history of
 // removals starts at that host's historyStart.
 func (c *objectCache) merge(objects storer.ItemList, historyStart int64, changes bool) {
-	if changes && c.listed {
+	switch {
+	case changes && c.listed:
 		c.applyChanges(objects)
-	} else {
+	case objects.Position().SameEra(c.position) || c.position.Before(objects.Position()):
 		c.replaceAll(objects)
 		c.historyStart = historyStart
 	}
-	c.revision = max(c.revision, objects.Revision())
+	if c.position.SameEra(objects.Position()) {
+		c.advance(objects.Revision())
+	}
 }
 
-// applyChanges applies added, changed and removed objects.
+// applyChanges applies added, changed and removed objects of the cache's era. It
+// ignores those of another era.
 func (c *objectCache) applyChanges(changed storer.ItemList) {
+	if !c.position.SameEra(changed.Position()) {
+		return
+	}
 	for _, item := range changed.Items() {
-		c.revision = max(c.revision, item.Revision())
+		c.advance(item.Revision())
 		if !item.Deleted() {
 			c.items[item.Name()] = item
 			continue
@@ -75,11 +109,12 @@
 	}
 }
 
-// changesSince returns the objects that a host at the given revision lacks. The
+// changesSince returns the objects that a host at the given position lacks. The
 // second result is true if these are only the changes, and false if they are all
 // objects of the kind.
-func (c *objectCache) changesSince(revision int64) (storer.ItemList, bool) {
-	changes := revision > 0 && revision >= c.historyStart
+func (c *objectCache) changesSince(p storer.Position) (storer.ItemList, bool) {
+	revision := p.Revision()
+	changes := p.SameEra(c.position) && revision > 0 && revision >= c.historyStart
 	var items []storer.Item
 	for _, item := range c.items {
 		if !changes || item.Revision() > revision {
@@ -91,28 +126,44 @@
 			items = append(items, item)
 		}
 	}
-	return storer.NewItemList(items, c.revision), changes
+	return storer.NewItemList(items, c.position.Revision(), storer.WithEra(c.position.Era())), changes
 }
 
-// appliedRevision returns the revision up to which all changes are in the cache.
-func (c *objectCache) appliedRevision() int64 { return max(c.revision, c.historyStart) }
+// appliedPosition returns the position up to which all changes are in the cache.
+func (c *objectCache) appliedPosition() storer.Position {
+	return storer.NewPosition(c.position.Era(), max(c.position.Revision(), c.historyStart))
+}
 
-// recordPeerRevision records the revision that another host reported, with its
-// control address. Revisions that this cache has reached are ignored.
-func (c *objectCache) recordPeerRevision(now time.Duration, revision int64, control string) {
-	if revision <= c.appliedRevision() {
+// peerAhead reports whether another host reported a later position than this host's.
+func (c *objectCache) peerAhead() bool { return c.appliedPosition().Before(c.peerPosition) }
+
+// recordPeerPosition records the position that another host reported, with its
+// control address. Positions that this cache has reached are ignored.
+func (c *objectCache) recordPeerPosition(now time.Duration, p storer.Position, control string) {
+	if !c.appliedPosition().Before(p) {
 		return
 	}
-	if c.peerRevision <= c.appliedRevision() {
+	if !c.peerAhead() {
 		c.peerAheadSince = now
 	}
-	if revision > c.peerRevision {
-		c.peerRevision = revision
+	if c.peerPosition.Before(p) {
+		c.peerPosition = p
 		c.peerAddress = control
 	}
 }
 
-// stalled reports whether other hosts have been ahead for stallTimeout.
+// stalled reports whether this host's watch has to be renewed: other hosts have been
+// ahead for stallTimeout, or they have seen a later era of the store.
 func (c *objectCache) stalled(now time.Duration) bool {
-	return c.peerRevision > c.appliedRevision() && now-c.peerAheadSince >= stallTimeout
+	if !c.peerAhead() {
+		return false
+	}
+	restored := !c.peerPosition.SameEra(c.position) && c.relistedEra < c.peerPosition.Era()
+	return restored || now-c.peerAheadSince >= stallTimeout
+}
+
+// watchRenewed records that the watch is being renewed since other hosts are ahead.
+func (c *objectCache) watchRenewed(now time.Duration) {
+	c.peerAheadSince = now
+	c.relistedEra = c.peerPosition.Era()
 }
--- a/internal/controller/cache_test.go
+++ b/internal/controller/cache_test.go
@@ -26,7 +26,7 @@
 // syncCaches brings one cache up to date with another, as when a host fetches
 // objects from another host.
 func syncCaches(from, to *objectCache) {
-	objects, changes := from.changesSince(to.appliedRevision())
+	objects, changes := from.changesSince(to.appliedPosition())
 	to.merge(objects, from.historyStart, changes)
 }
 
@@ -37,12 +37,12 @@
 	syncCaches(source, target)
 	is.Equal(itemNames(target), "ab")
 	source.applyChanges(storer.NewItemList([]storer.Item{item("c", 8), storer.NewDeletedItem("a", 9)}, 9))
-	objects, changes := source.changesSince(target.appliedRevision())
+	objects, changes := source.changesSince(target.appliedPosition())
 	is.True(changes)
 	is.Equal(len(objects.Items()), 2)
 	syncCaches(source, target)
 	is.Equal(itemNames(target), "bc")
-	is.Equal(target.revision, int64(9))
+	is.Equal(target.position.Revision(), int64(9))
 }
 
 // A list does not contain objects that were removed before it, so a host at an
@@ -72,7 +72,7 @@
 	for revision := int64(2); revision < 2*maxRemoved; revision++ {
 		source.applyChanges(storer.NewItemList([]storer.Item{storer.NewDeletedItem("x", revision)}, revision))
 	}
-	_, changes := source.changesSince(target.revision)
+	_, changes := source.changesSince(target.position)
 	is.True(!changes)
 	syncCaches(source, target)
 	is.Equal(itemNames(target), "")
@@ -82,8 +82,55 @@
 	is := is.New(t)
 	cache := newObjectCache("k")
 	cache.replaceAll(storer.NewItemList([]storer.Item{item("a", 5)}, 7))
-	cache.recordPeerRevision(0, 9, "other")
+	cache.recordPeerPosition(0, storer.NewPosition(0, 9), "other")
 	is.True(cache.stalled(stallTimeout))
 	cache.replaceAll(storer.NewItemList([]storer.Item{item("a", 5)}, 10)) // revision 9 was a removal
 	is.True(!cache.stalled(stallTimeout))
 }
+
+func inEra(era, revision int64, items ...storer.Item) storer.ItemList {
+	return storer.NewItemList(items, revision, storer.WithEra(era))
+}
+
+func TestRevisionsGivenOutAgainReachAnotherCache(t *testing.T) {
+	is := is.New(t)
+	source, target := newObjectCache("k"), newObjectCache("k")
+	source.replaceAll(inEra(1, 90, item("a", 90)))
+	syncCaches(source, target)
+	source.replaceAll(inEra(2, 40, item("a", 30)))
+	source.applyChanges(inEra(2, 41, item("b", 41)))
+	target.recordPeerPosition(0, source.position, "other")
+	is.True(target.peerAhead())
+	is.True(target.stalled(0)) // at once, not after stallTimeout
+	syncCaches(source, target)
+	is.Equal(itemNames(target), "ab")
+	is.Equal(target.position, source.position)
+	source.applyChanges(inEra(2, 42, storer.NewDeletedItem("a", 42)))
+	_, changes := source.changesSince(target.appliedPosition())
+	is.True(changes)
+	syncCaches(source, target)
+	is.Equal(itemNames(target), "b")
+}
+
+func TestAnswerOfAnEarlierEraIsIgnored(t *testing.T) {
+	is := is.New(t)
+	cache := newObjectCache("k")
+	cache.replaceAll(inEra(2, 40, item("a", 30)))
+	cache.replaceAll(inEra(1, 90, item("b", 90)))
+	cache.applyChanges(inEra(1, 91, item("c", 91)))
+	cache.merge(inEra(1, 92, item("d", 92)), 92, true)
+	cache.recordPeerPosition(0, storer.NewPosition(1, 99), "other")
+	is.Equal(itemNames(cache), "a")
+	is.Equal(cache.appliedPosition(), storer.NewPosition(2, 40))
+	is.True(!cache.peerAhead())
+}
+
+func TestAnswerWithoutAnEraBelongsToTheKnownOne(t *testing.T) {
+	is := is.New(t)
+	cache := newObjectCache("k")
+	cache.replaceAll(inEra(2, 40, item("a", 30)))
+	cache.applyChanges(storer.NewItemList([]storer.Item{item("b", 41)}, 41))
+	cache.replaceAll(storer.NewItemList([]storer.Item{item("a", 30), item("c", 43)}, 43))
+	is.Equal(itemNames(cache), "ac")
+	is.Equal(cache.position, storer.NewPosition(2, 43))
+}
--- a/internal/controller/discovery.go
+++ b/internal/controller/discovery.go
@@ -48,7 +48,7 @@
 		return
 	}
 	cache := l.caches[l.kinds.Hosts]
-	if !cache.listed || cache.revision < m.hosts.Revision() {
+	if !cache.listed || cache.position.Before(m.hosts.Position()) {
 		cache.replaceAll(m.hosts)
 		l.applyHosts(now)
 	}
--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -138,10 +138,13 @@
 	if since := now - l.outageAt; l.outageAt > 0 && since < outageRetention {
 		m.LostBefore = uint32(since.Milliseconds()) + 1
 	}
+	for _, cache := range l.caches {
+		m.Era = max(m.Era, cache.position.Era())
+	}
 	for _, kind := range l.kindOrder {
 		revision := int64(0)
-		if cache := l.caches[kind]; cache.listed {
-			revision = cache.revision
+		if cache := l.caches[kind]; cache.listed && cache.position.Era() == m.GetEra() {
+			revision = cache.position.Revision()
 		}
 		m.Positions = append(m.Positions, revision)
 	}
--- a/internal/controller/health.go
+++ b/internal/controller/health.go
@@ -34,7 +34,7 @@
 	scope.Gauge("backend_servers").Update(float64(len(all)))
 	scope.Gauge("backend_servers_impaired").Update(float64(len(impaired)))
 	for kind, cache := range l.caches {
-		scope.Tagged(map[string]string{"kind": kind}).Gauge("store_revision").Update(float64(cache.revision))
+		scope.Tagged(map[string]string{"kind": kind}).Gauge("store_revision").Update(float64(cache.position.Revision()))
 	}
 	for cause, count := range l.controller.roundTripper.DialCounts() {
 		scope.Tagged(map[string]string{"cause": cause}).Gauge("backend_connections_opened").Update(float64(count))
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -11,6 +11,7 @@
 	"magnoliahill.example/magnoliahill/internal/dispatcher"
 	"magnoliahill.example/magnoliahill/internal/follower"
 	"magnoliahill.example/magnoliahill/internal/loader"
+	"magnoliahill.example/magnoliahill/internal/storer"
 	"magnoliahill.example/magnoliahill/pkg/allocator"
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
 	"magnoliahill.example/magnoliahill/pkg/gossiper"
@@ -227,7 +228,7 @@
 	case u.Err != nil:
 		if !cache.unreachable {
 			cache.unreachable = true
-			klog.InfoS("store lost", "kind", u.Kind, "revision", cache.revision, "cause", u.Err.Error())
+			klog.InfoS("store lost", "kind", u.Kind, "revision", cache.position.Revision(), "cause", u.Err.Error())
 		}
 		if u.Kind == l.kinds.Servers {
 			l.registrar.StoreLost(now)
@@ -236,10 +237,7 @@
 		if cache.unreachable || !cache.listed {
 			klog.InfoS("store reachable", "kind", u.Kind, "revision", u.Listed.Revision(), "objects", len(u.Listed.Items()))
 		}
-		if u.Listed.Revision() < cache.revision {
-			klog.InfoS("store revision decreased", "kind", u.Kind, "from", cache.revision, "revision", u.Listed.Revision())
-			l.controller.recorder.Scope().Counter("store_revision_decreased").Inc(1)
-		}
+		l.logRestore(cache, u.Listed.Position())
 		cache.unreachable = false
 		if u.Kind == l.kinds.Servers {
 			l.registrar.StoreRegained(now)
@@ -254,6 +252,16 @@
 	}
 }
 
+// logRestore logs and counts a change of the store's era that a list of a kind shows.
+func (l *loop) logRestore(cache *objectCache, listed storer.Position) {
+	if !cache.listed || cache.position.SameEra(listed) {
+		return
+	}
+	klog.InfoS("store restored", "kind", cache.kind, "fromEra", cache.position.Era(), "from", cache.position.Revision(),
+		"era", listed.Era(), "revision", listed.Revision())
+	l.controller.recorder.Scope().Counter("store_restores").Inc(1)
+}
+
 // publishSnapshot passes the configuration and the phase to the request path and
 // to the readiness endpoint. The first configuration ends the starting phase.
 func (l *loop) publishSnapshot() {
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -14,6 +14,7 @@
 	"magnoliahill.example/magnoliahill/internal/messenger"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1/peerv1connect"
+	"magnoliahill.example/magnoliahill/internal/storer"
 )
 
 const (
@@ -69,8 +70,8 @@
 	l.gossiper.SetStoreUnreachable(host.ID.Name, m.GetBlind())
 	l.applyHealthReports(now, host.Zone, messenger.DecodeHealthReports(m.GetEvidence()))
 	for i, revision := range m.GetPositions() {
-		if i < len(l.kindOrder) {
-			l.caches[l.kindOrder[i]].recordPeerRevision(now, revision, host.Control)
+		if i < len(l.kindOrder) && revision > 0 {
+			l.caches[l.kindOrder[i]].recordPeerPosition(now, storer.NewPosition(m.GetEra(), revision), host.Control)
 		}
 	}
 	if m.GetWatching() && !m.GetStoreLost() {
@@ -125,19 +126,20 @@
 }
 
 // fetchFromPeers fetches objects from another host for kinds that this host does
-// not watch or cannot list, if other hosts reported higher revisions. It restarts
+// not watch or cannot list, if other hosts reported later positions. It restarts
 // watches that have stalled.
 func (l *loop) fetchFromPeers(now time.Duration) {
 	positions := map[string][]*peerv1.Position{}
 	for kind, cache := range l.caches {
-		if cache.peerRevision <= cache.appliedRevision() {
+		if !cache.peerAhead() {
 			continue
 		}
 		if !l.watching || cache.unreachable || !cache.listed {
-			positions[cache.peerAddress] = append(positions[cache.peerAddress], &peerv1.Position{Kind: kind, Revision: cache.appliedRevision()})
+			positions[cache.peerAddress] = append(positions[cache.peerAddress], messenger.EncodePosition(kind, cache.appliedPosition()))
 		} else if cache.stalled(now) {
-			klog.InfoS("watch stalled", "kind", kind, "revision", cache.revision, "others", cache.peerRevision)
-			cache.peerAheadSince = now
+			klog.InfoS("watch stalled", "kind", kind, "era", cache.position.Era(), "revision", cache.position.Revision(),
+				"othersEra", cache.peerPosition.Era(), "others", cache.peerPosition.Revision())
+			cache.watchRenewed(now)
 			l.followers[kind].Relist()
 		}
 	}
@@ -179,7 +181,7 @@
 		klog.InfoS("fetching objects from host failed", "host", m.host, "cause", m.err.Error())
 		for _, cache := range l.caches {
 			if cache.peerAddress == m.host {
-				cache.peerRevision = 0 // the next gossip message sets it again, maybe from another host
+				cache.peerPosition = storer.Position{} // the next gossip message sets it again, maybe from another host
 			}
 		}
 		if !l.watching && !l.discovering && !l.synced() {
@@ -192,7 +194,7 @@
 	}
 	for _, wire := range m.lists {
 		cache := l.caches[wire.GetKind()]
-		if cache == nil || l.watching && !cache.unreachable && cache.listed || wire.GetRevision() <= cache.appliedRevision() {
+		if cache == nil || l.watching && !cache.unreachable && cache.listed || !cache.appliedPosition().Before(storer.NewPosition(wire.GetEra(), wire.GetRevision())) {
 			continue
 		}
 		l.applyFetched(now, m.host, cache, wire)
@@ -203,9 +205,10 @@
 // applyFetched merges the objects of one kind that another host returned.
 func (l *loop) applyFetched(now time.Duration, host string, cache *objectCache, wire *peerv1.ObjectTable) {
 	objects := messenger.DecodeObjects(wire)
-	klog.InfoS("objects fetched from host", "kind", cache.kind, "host", host, "from", cache.revision,
-		"revision", objects.Revision(), "objects", len(objects.Items()), "changes", wire.GetChanges())
+	klog.InfoS("objects fetched from host", "kind", cache.kind, "host", host, "from", cache.position.Revision(),
+		"era", objects.Position().Era(), "revision", objects.Revision(), "objects", len(objects.Items()), "changes", wire.GetChanges())
 	changes := wire.GetChanges() && cache.listed
+	l.logRestore(cache, objects.Position())
 	cache.merge(objects, wire.GetComplete(), changes)
 	if changes {
 		l.applyUpdate(now, cache.kind, &objects)
@@ -220,8 +223,8 @@
 	controller *Controller
 }
 
-// Objects returns the objects of those kinds for which this host has a higher
-// revision than the request.
+// Objects returns the objects of those kinds for which this host has a later
+// position than the request.
 func (p *peerService) Objects(ctx context.Context, req *connect.Request[peerv1.ObjectsRequest]) (*connect.Response[peerv1.ObjectsResponse], error) {
 	m := &objectsQuery{known: req.Msg.GetKnown(), reply: make(chan []*peerv1.ObjectTable, 1)}
 	p.controller.loop.send(m)
@@ -249,8 +252,9 @@
 func (m *objectsQuery) apply(l *loop, _ time.Duration) {
 	var lists []*peerv1.ObjectTable
 	for _, p := range m.known {
-		if cache := l.caches[p.GetKind()]; cache != nil && cache.listed && cache.revision > p.GetRevision() {
-			objects, changes := cache.changesSince(p.GetRevision())
+		known := messenger.DecodePosition(p)
+		if cache := l.caches[p.GetKind()]; cache != nil && cache.listed && known.Before(cache.position) {
+			objects, changes := cache.changesSince(known)
 			lists = append(lists, messenger.EncodeObjects(cache.kind, objects, cache.historyStart, changes))
 		}
 	}
--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -131,7 +131,7 @@
 	for name := range l.caches[l.kinds.Evacuations].items {
 		l.evacuatedZones = append(l.evacuatedZones, name)
 	}
-	klog.InfoS("evacuated zones changed", "zones", l.evacuatedZones, "revision", l.caches[l.kinds.Evacuations].revision)
+	klog.InfoS("evacuated zones changed", "zones", l.evacuatedZones, "revision", l.caches[l.kinds.Evacuations].position.Revision())
 	l.updatePlacer(now)
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -99,6 +99,10 @@
 	delay := minRetryDelay
 	for ctx.Err() == nil {
 		list, err := f.list(ctx)
+		if errors.Is(err, storer.ErrRestored) {
+			_ = timekeeper.Sleep(ctx, minRetryDelay)
+			continue
+		}
 		if err != nil {
 			f.onUpdate(Update{Kind: f.kind, Err: err})
 			_ = timekeeper.Sleep(ctx, jitter(delay))
@@ -107,7 +111,7 @@
 		}
 		delay = minRetryDelay
 		f.onUpdate(Update{Kind: f.kind, Listed: &list})
-		f.watch(ctx, list.Revision())
+		f.watch(ctx, list.Position())
 	}
 }
 
@@ -121,10 +125,16 @@
 	return f.source.List(ctx, f.kind)
 }
 
-// watch reports changes until the watch fails or a new list is requested.
-func (f *Follower) watch(ctx context.Context, revision int64) {
+// watch reports changes until the watch fails or a new list is requested. A watch
+// from a revision that a restored store has given out again lacks changes, so a
+// response from another era counts as a failure.
+func (f *Follower) watch(ctx context.Context, start storer.Position) {
+	revision := start.Revision()
 	for ctx.Err() == nil {
 		changed, err := f.watchOnce(ctx, revision)
+		if err == nil && !changed.Position().SameEra(start) {
+			err = storer.ErrRestored
+		}
 		if err != nil {
 			f.watchFailed(ctx, revision, err)
 			return
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -21,12 +21,13 @@
 	compactedTo int64 // the history up to this revision is gone
 	down        bool
 	silent      bool // watches get no response
+	era         int64
 	calls       int
 	longest     time.Duration // longest watch that was requested
 	changed     chan struct{}
 }
 
-func newSource() *source { return &source{revision: 1, changed: make(chan struct{})} }
+func newSource() *source { return &source{revision: 1, era: 1, changed: make(chan struct{})} }
 
 func (s *source) change() {
 	s.mu.Lock()
@@ -47,7 +48,7 @@
 }
 
 func (s *source) items() storer.ItemList {
-	return storer.NewItemList([]storer.Item{storer.NewItem("one", s.revision, nil)}, s.revision)
+	return storer.NewItemList([]storer.Item{storer.NewItem("one", s.revision, nil)}, s.revision, storer.WithEra(s.era))
 }
 
 func (s *source) List(context.Context, string) (storer.ItemList, error) {
@@ -83,7 +84,7 @@
 	case <-ctx.Done():
 		return storer.ItemList{}, ctx.Err()
 	case <-time.After(wait):
-		return storer.NewItemList(nil, revision), nil
+		return storer.NewItemList(nil, revision, storer.WithEra(s.era)), nil
 	case <-changed:
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -96,9 +97,16 @@
 type recorder struct {
 	mu       sync.Mutex
 	revision int64
+	lists    int
 	losses   int
 }
 
+func (r *recorder) set(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
 func (r *recorder) record(n follower.Update) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -106,6 +114,7 @@
 	case n.Err != nil:
 		r.losses++
 	case n.Listed != nil:
+		r.lists++
 		r.revision = n.Listed.Revision()
 	case n.Changed != nil:
 		r.revision = n.Changed.Revision()
@@ -256,3 +265,22 @@
 		done.Wait()
 	})
 }
+
+// A store that was restored has given out the revision that is watched again, and the
+// watch returns only the changes after it.
+func TestChangesBeforeAWatchedRevisionOfARestoredStoreAreListed(t *testing.T) {
+	is := is.New(t)
+	runFollower(t, func(s *source, _ *follower.Follower, updates *recorder) {
+		for range 9 {
+			s.change()
+		}
+		time.Sleep(2 * time.Second) // the follower waits for changes after revision 10
+		s.set(func() { s.era, s.revision = 2, 8 })
+		updates.set(func() { updates.lists = 0 })
+		s.change()
+		s.change()
+		s.change()
+		time.Sleep(time.Second)
+		updates.set(func() { is.Equal(updates.lists, 1) })
+	})
+}
--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -314,11 +314,23 @@
 	return reports
 }
 
+// EncodePosition converts a host's position in the history of a kind to its wire type.
+func EncodePosition(kind string, p storer.Position) *peerv1.Position {
+	return &peerv1.Position{Kind: kind, Revision: p.Revision(), Era: p.Era()}
+}
+
+// DecodePosition converts a position from its wire type.
+func DecodePosition(wire *peerv1.Position) storer.Position {
+	return storer.NewPosition(wire.GetEra(), wire.GetRevision())
+}
+
 // EncodeObjects converts stored objects of one kind to their wire type: all
 // objects, or only changes if changes is set. The sender has all removals after
 // revision complete.
 func EncodeObjects(kind string, list storer.ItemList, complete int64, changes bool) *peerv1.ObjectTable {
-	wire := &peerv1.ObjectTable{Kind: kind, Revision: list.Revision(), Complete: complete, Changes: changes}
+	wire := &peerv1.ObjectTable{
+		Kind: kind, Revision: list.Revision(), Era: list.Position().Era(), Complete: complete, Changes: changes,
+	}
 	for _, item := range list.Items() {
 		wire.Objects = append(wire.Objects, &peerv1.StoredObject{
 			Name: item.Name(), Revision: item.Revision(), Content: item.Content(), Deleted: item.Deleted(),
@@ -337,5 +349,5 @@
 		}
 		items = append(items, storer.NewItem(o.GetName(), o.GetRevision(), o.GetContent()))
 	}
-	return storer.NewItemList(items, wire.GetRevision())
+	return storer.NewItemList(items, wire.GetRevision(), storer.WithEra(wire.GetEra()))
 }
--- a/internal/storer/itemlist.go
+++ b/internal/storer/itemlist.go
@@ -6,6 +6,10 @@
 // revision. The caller has to list the kind again.
 var ErrRevisionExpired = errors.New("changes since the revision are no longer available")
 
+// ErrRestored means that the store came back from an earlier copy while it was
+// listed. The caller has to list the kind again.
+var ErrRestored = errors.New("store was restored from an earlier copy")
+
 // Item is one object of a kind in a store that numbers its changes by revision.
 type Item struct {
 	name     string
@@ -40,16 +44,32 @@
 // those that changed after a watch.
 type ItemList struct {
 	items    []Item
-	revision int64 // of the store at the time of its response; never decreases
+	position Position // of the store at the time of its response; never decreases within an era
 }
 
-// NewItemList returns the objects that the store had at a revision.
-func NewItemList(items []Item, revision int64) ItemList {
-	return ItemList{items: items, revision: revision}
+// ItemListOption sets one property of an ItemList.
+type ItemListOption func(*ItemList)
+
+// WithEra sets the era of the store.
+func WithEra(era int64) ItemListOption {
+	return func(l *ItemList) { l.position.era = era }
+}
+
+// NewItemList returns the objects that the store had at a revision. The era is not
+// known unless an option sets it.
+func NewItemList(items []Item, revision int64, options ...ItemListOption) ItemList {
+	l := ItemList{items: items, position: NewPosition(0, revision)}
+	for _, option := range options {
+		option(&l)
+	}
+	return l
 }
 
 // Items returns the objects. The caller must not modify the slice.
 func (l ItemList) Items() []Item { return l.items }
 
 // Revision returns the revision of the store, at which the next watch starts.
-func (l ItemList) Revision() int64 { return l.revision }
+func (l ItemList) Revision() int64 { return l.position.revision }
+
+// Position returns the position of the store.
+func (l ItemList) Position() Position { return l.position }
