controller: take the newer configuration of other hosts after a store restore

A host that starts after the store came back from a copy served the copy's version: withdrawn keys were accepted and newer ones refused until the operator had written the newer version again. Cause: the position in the store decided which configuration a host asks its neighbours for. After a restore all are at the same position, though the others still apply a version that the store has lost. Fix: gossip carries the version in force. A host that hears of a higher one fetches it from that host: at once when it is at the same position, after a second when the store is about to bring it. As a second way it also serves a host whose watch is deaf: it is behind for a second at most after the first gossip message.

--- a/internal/controller/loads.go
+++ b/internal/controller/loads.go
@@ -40,12 +40,12 @@
 // regionDemand returns the running requests of all hosts, by service and by the
 // region of the hosts. It returns nil before the first configuration.
 func (l *loop) regionDemand(now time.Duration) map[string]map[string]placer.Demand {
-	if l.catalog == nil {
+	if l.config.catalog == nil {
 		return nil
 	}
 	zones := l.gossiper.ServicesByZone(now, encodeDemand(l.controller.placer.Demand()))
 	all := map[string]map[string]placer.Demand{}
-	for _, service := range l.catalog.Services() {
+	for _, service := range l.config.catalog.Services() {
 		byRegion := map[string]gossiper.ServiceLoad{}
 		for zone, services := range zones {
 			region := l.controller.settings.Regions[zone]
@@ -98,11 +98,11 @@
 // remoteDemand returns the request rates that other hosts reported, by name of the
 // limit. It returns nil before the first configuration.
 func (l *loop) remoteDemand(reported gossiper.Load) map[string]float64 {
-	if l.catalog == nil {
+	if l.config.catalog == nil {
 		return nil
 	}
 	byLimit := make(map[string]float64, len(reported.Demands))
-	for _, w := range l.catalog.Workspaces() {
+	for _, w := range l.config.catalog.Workspaces() {
 		byLimit[w.Name()] = reported.Demands[gossiper.NameHash(w.Name())]
 	}
 	return byLimit
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -13,7 +13,6 @@
 	"magnoliahill.example/magnoliahill/internal/loader"
 	"magnoliahill.example/magnoliahill/internal/storer"
 	"magnoliahill.example/magnoliahill/pkg/allocator"
-	"magnoliahill.example/magnoliahill/pkg/cataloger"
 	"magnoliahill.example/magnoliahill/pkg/gossiper"
 	"magnoliahill.example/magnoliahill/pkg/registrar"
 	"magnoliahill.example/magnoliahill/pkg/tracker"
@@ -52,8 +51,7 @@
 	outageAt         time.Duration // when the store was last unreachable for more than this host; 0 if never
 	workCtx          context.Context
 	caches           map[string]*objectCache // by kind
-	catalog          *cataloger.Catalog
-	configAppliedAt  time.Duration // when the catalog became active
+	config           activeConfig
 	evacuatedZones   []string
 	impaired         map[string]bool   // ids of backend servers that were impaired at the last check
 	serverIDs        map[uint32]string // ids of backend servers by their number in gossip messages
@@ -168,7 +166,7 @@
 			return false
 		}
 	}
-	return l.catalog != nil
+	return l.config.catalog != nil
 }
 
 // run processes messages and periodic work until the context ends.
@@ -265,12 +263,12 @@
 // publishSnapshot passes the configuration and the phase to the request path and
 // to the readiness endpoint. The first configuration ends the starting phase.
 func (l *loop) publishSnapshot() {
-	if l.phase == dispatcher.Starting && l.catalog != nil {
+	if l.phase == dispatcher.Starting && l.config.catalog != nil {
 		l.phase = dispatcher.Serving
 		l.tracker.SetState(tracker.Serving)
-		klog.InfoS("host serves", "config", l.catalog.Generation())
+		klog.InfoS("host serves", "config", l.config.catalog.Generation())
 	}
-	l.controller.dispatcher.SetSnapshot(dispatcher.NewSnapshot(l.catalog, l.phase, l.configAppliedAt, l.stopTimes))
+	l.controller.dispatcher.SetSnapshot(dispatcher.NewSnapshot(l.config.catalog, l.phase, l.config.appliedAt, l.stopTimes))
 	l.controller.ready.Store(l.phase == dispatcher.Serving)
 }
 
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -74,6 +74,7 @@
 			l.caches[l.kindOrder[i]].recordPeerPosition(now, storer.NewPosition(m.GetEra(), revision), host.Control)
 		}
 	}
+	l.config.recordPeerGeneration(now, m.GetGeneration(), host.Control)
 	if m.GetWatching() && !m.GetStoreLost() {
 		sinceOutage := outageRetention
 		if ms := m.GetLostBefore(); ms > 0 {
@@ -143,7 +144,13 @@
 			l.followers[kind].Relist()
 		}
 	}
-	if l.fetching || len(positions) == 0 {
+	if l.fetching {
+		return
+	}
+	if query := l.activeConfigQuery(now); query != nil {
+		positions[l.config.peerAddress] = append(positions[l.config.peerAddress], query)
+	}
+	if len(positions) == 0 {
 		return
 	}
 	hosts := make([]string, 0, len(positions))
@@ -193,6 +200,10 @@
 		return
 	}
 	for _, wire := range m.lists {
+		if wire.GetKind() == l.kinds.Config && wire.GetRevision() == 0 {
+			l.applyConfig(now, messenger.DecodeObjects(wire).Items()) // the other host's active configuration
+			continue
+		}
 		cache := l.caches[wire.GetKind()]
 		if cache == nil || l.watching && !cache.unreachable && cache.listed || !cache.appliedPosition().Before(storer.NewPosition(wire.GetEra(), wire.GetRevision())) {
 			continue
@@ -252,6 +263,12 @@
 func (m *objectsQuery) apply(l *loop, _ time.Duration) {
 	var lists []*peerv1.ObjectTable
 	for _, p := range m.known {
+		if p.GetActive() {
+			if table := l.activeConfigTable(); table != nil {
+				lists = append(lists, table)
+			}
+			continue
+		}
 		known := messenger.DecodePosition(p)
 		if cache := l.caches[p.GetKind()]; cache != nil && cache.listed && known.Before(cache.position) {
 			objects, changes := cache.changesSince(known)
--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -1,14 +1,14 @@
 package controller
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"magnoliahill.example/magnoliahill/internal/roundtripper"
 	"magnoliahill.example/magnoliahill/internal/storer"
-	"magnoliahill.example/magnoliahill/pkg/allocator"
-	"magnoliahill.example/magnoliahill/pkg/cataloger"
 	"magnoliahill.example/magnoliahill/pkg/gossiper"
 	"magnoliahill.example/magnoliahill/pkg/placer"
 	"magnoliahill.example/magnoliahill/pkg/registrar"
@@ -19,7 +19,7 @@
 func (l *loop) applyUpdate(now time.Duration, kind string, changes *storer.ItemList) {
 	switch kind {
 	case l.kinds.Config:
-		l.applyConfig(now)
+		l.applyConfig(now, slices.Collect(maps.Values(l.caches[kind].items)))
 	case l.kinds.Servers:
 		l.applyServers(now, changes)
 	case l.kinds.Evacuations:
@@ -29,54 +29,6 @@
 	}
 }
 
-// applyConfig activates the stored configuration if its generation is
-// higher than that of the active one.
-func (l *loop) applyConfig(now time.Duration) {
-	for _, item := range l.caches[l.kinds.Config].items {
-		catalog, err := l.controller.platform.DecodeConfig(item, l.controller.settings.Regions)
-		if err != nil {
-			klog.ErrorS(err, "invalid configuration ignored", "object", item.Name(), "revision", item.Revision())
-			continue
-		}
-		if l.catalog != nil && catalog.Generation() <= l.catalog.Generation() {
-			continue
-		}
-		logRateChanges(l.catalog, catalog)
-		l.catalog = catalog
-		l.configAppliedAt = now
-		klog.InfoS("configuration applied", "config", catalog.Generation(), "revision", item.Revision(),
-			"routes", len(catalog.Routes()), "services", len(catalog.Services()), "workspaces", len(catalog.Workspaces()))
-		l.controller.allocator.SetLimits(now, rateLimits(catalog))
-		l.updatePlacer(now)
-		l.publishSnapshot()
-	}
-}
-
-// rateLimits returns the rate limits of workspaces, which all hosts share.
-func rateLimits(catalog *cataloger.Catalog) []allocator.Limit {
-	var limits []allocator.Limit
-	for _, w := range catalog.Workspaces() {
-		if w.Rate() > 0 {
-			limits = append(limits, allocator.Limit{Name: w.Name(), Rate: w.Rate(), Burst: w.Burst()})
-		}
-	}
-	return limits
-}
-
-// logRateChanges logs each workspace whose rate or burst changed.
-func logRateChanges(before, after *cataloger.Catalog) {
-	for _, w := range after.Workspaces() {
-		var old *cataloger.Workspace
-		if before != nil {
-			old = before.Workspace(w.Name())
-		}
-		if old == nil || old.Rate() != w.Rate() || old.Burst() != w.Burst() {
-			klog.InfoS("workspace rate changed", "workspace", w.Name(), "rate", w.Rate(), "burst", w.Burst(),
-				"homes", w.HomeRegions(), "config", after.Generation())
-		}
-	}
-}
-
 // applyServers applies registrations of backend servers. If changes is nil, the
 // cached registrations replace all earlier ones.
 func (l *loop) applyServers(now time.Duration, changes *storer.ItemList) {
@@ -138,11 +90,11 @@
 // updatePlacer passes the services, registered backend servers and evacuated
 // zones to the placer. It does nothing before the first configuration.
 func (l *loop) updatePlacer(now time.Duration) {
-	if l.catalog == nil {
+	if l.config.catalog == nil {
 		return
 	}
-	services := make([]placer.Service, 0, len(l.catalog.Services()))
-	for _, s := range l.catalog.Services() {
+	services := make([]placer.Service, 0, len(l.config.catalog.Services()))
+	for _, s := range l.config.catalog.Services() {
 		services = append(services, placer.Service{Name: s.Name(), ColdRate: s.ColdRate(), ColdStart: s.ColdStart()})
 	}
 	instances := l.registrar.Instances()
