controller: register again when a store restore lost the registration

A host that had written its registration waited to see it before it would write again. If the store came back from an older copy in between, it waited for ever, and the hosts that start later would not count it in the shares of rates and cold servers. Fix: a restore ends the wait. Test TestRegistrationLostInStoreRestoreIsWrittenAgain failed before (1 s time-out) and passes.

--- a/internal/controller/discovery_test.go
+++ b/internal/controller/discovery_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"magnoliahill.example/magnoliahill/internal/follower"
 	"magnoliahill.example/magnoliahill/internal/loader"
 	"magnoliahill.example/magnoliahill/internal/storer"
 	"magnoliahill.example/magnoliahill/pkg/header"
@@ -68,6 +69,38 @@
 	return storer.NewItemList(items, int64(len(names)))
 }
 
+// registeringPlatform records the hosts that register.
+type registeringPlatform struct {
+	idlePlatform
+	registered chan string
+}
+
+func (p registeringPlatform) Create(_ context.Context, _, name string, _ []byte) error {
+	p.registered <- name
+	return nil
+}
+
+func TestRegistrationLostInStoreRestoreIsWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	l := newTestLoop(t, "host")
+	p := registeringPlatform{registered: make(chan string, 4)}
+	l.controller.platform = p
+	l.watching, l.registrationSent = true, false
+	list := func(era, revision int64) {
+		hosts := storer.NewItemList(nil, revision, storer.WithEra(era))
+		storeUpdate{follower.Update{Kind: l.kinds.Hosts, Listed: &hosts}}.apply(l, 0)
+	}
+	list(1, 5)
+	is.Equal(<-p.registered, "host")
+	list(2, 5) // the registration was written and lost before this host saw it
+	select {
+	case name := <-p.registered:
+		is.Equal(name, "host")
+	case <-time.After(time.Second):
+		t.Fatal("the host did not register again")
+	}
+}
+
 // When all hosts of a zone start together, only a few of them list the store. The
 // others do so when they hear of none that did.
 func TestFewHostsOfAZoneListTheStoreAtStart(t *testing.T) {
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -235,7 +235,7 @@
 		if cache.unreachable || !cache.listed {
 			klog.InfoS("store reachable", "kind", u.Kind, "revision", u.Listed.Revision(), "objects", len(u.Listed.Items()))
 		}
-		l.logRestore(cache, u.Listed.Position())
+		l.checkRestore(cache, u.Listed.Position())
 		cache.unreachable = false
 		if u.Kind == l.kinds.Servers {
 			l.registrar.StoreRegained(now)
@@ -250,11 +250,15 @@
 	}
 }
 
-// logRestore logs and counts a change of the store's era that a list of a kind shows.
-func (l *loop) logRestore(cache *objectCache, listed storer.Position) {
-	if !cache.listed || cache.position.SameEra(listed) {
+// checkRestore logs and counts a restore of the store that a list of a kind shows. The
+// store may have lost the registration of this host.
+func (l *loop) checkRestore(cache *objectCache, listed storer.Position) {
+	if !cache.listed || cache.position.SameEra(listed) || listed.Before(cache.position) {
 		return
 	}
+	if cache.kind == l.kinds.Hosts {
+		l.registrationSent = false
+	}
 	klog.InfoS("store restored", "kind", cache.kind, "fromEra", cache.position.Era(), "from", cache.position.Revision(),
 		"era", listed.Era(), "revision", listed.Revision())
 	l.controller.recorder.Scope().Counter("store_restores").Inc(1)
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -219,7 +219,7 @@
 	klog.InfoS("objects fetched from host", "kind", cache.kind, "host", host, "from", cache.position.Revision(),
 		"era", objects.Position().Era(), "revision", objects.Revision(), "objects", len(objects.Items()), "changes", wire.GetChanges())
 	changes := wire.GetChanges() && cache.listed
-	l.logRestore(cache, objects.Position())
+	l.checkRestore(cache, objects.Position())
 	cache.merge(objects, wire.GetComplete(), changes)
 	if changes {
 		l.applyUpdate(now, cache.kind, &objects)
