--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -78,6 +78,7 @@
 
 	mu       sync.Mutex
 	outcomes []outcome
+	written  map[storeKey]any // what the operator and the targets wrote last
 }
 
 // process is one entry host, which may be restarted.
@@ -109,7 +110,7 @@
 // runSeed starts the system, injects faults while callers send requests, and checks
 // the guarantees after recovery.
 func runSeed(t *testing.T, binary string, seed uint64) {
-	s := &soak{t: t, rng: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir(), binary: binary, store: standin.New()}
+	s := &soak{t: t, rng: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir(), binary: binary, store: standin.New(), written: map[storeKey]any{}}
 	key := "key-0"
 	s.key.Store(&key)
 	server := httptest.NewServer(s.store)
@@ -124,7 +125,10 @@
 		callers.Add(1)
 		go func() { defer callers.Done(); s.sendRequests(i) }()
 	}
+	var restores sync.WaitGroup
+	restores.Go(func() { s.restoreStore(rand.New(rand.NewPCG(seed, 11))) })
 	s.injectFaults()
+	restores.Wait()
 	s.clearFaults()
 	time.Sleep(recoveryTime)
 	s.checkRecovery()
@@ -249,7 +253,7 @@
 
 // register writes the registration of a target with a state.
 func (s *soak) register(i int, state string) {
-	s.store.Put("servers", s.targets[i].Instance(), map[string]any{
+	s.put("servers", s.targets[i].Instance(), map[string]any{
 		"Service": "svc", "Address": s.targetProxies[i].address(), "Zone": fmt.Sprint("z", i%2), "Slots": 8, "State": state,
 	})
 }
@@ -263,7 +267,7 @@
 			"MaxAttempts": 2, "Service": "svc", "StickySessions": true, "Public": public,
 		}
 	}
-	s.store.Put("config", "main", map[string]any{
+	s.put("config", "main", map[string]any{
 		"Version":  fmt.Sprintf("%08x", s.version),
 		"Routes":   map[string]any{"read": route("/read/", "safe", true), "order": route("/order/", "unsafe", true), "keyed": route("/keyed/", "unsafe", false)},
 		"Services": map[string]any{"svc": map[string]any{"ColdStartS": 1, "ColdPerS": 50}},
