placer, platform, controller: log the request limits that backend servers name

Hypotheses: 1. nothing reads the header; 2. each of 11 hosts takes the whole limit; 3. the excess comes from retries. Ruled out by the record: 3, as all 228 attempts at the two servers were first ones; 2, as their arrivals did not change at all. The logs do not show which answers named a limit, since when and whether it ended. Added, without effect on the choice of servers: the header is decoded from every answer, refusals and error responses too; a line when a limit begins, changes or ends, and a gauge. A malformed value is ignored and counted.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -53,8 +53,9 @@
 	caches           map[string]*objectCache // by kind
 	config           activeConfig
 	evacuatedZones   []string
-	impaired         map[string]bool   // ids of backend servers that were impaired at the last check
-	serverIDs        map[uint32]string // ids of backend servers by their number in gossip messages
+	limited          map[string]float64 // request limits of backend servers at the last check, by id
+	impaired         map[string]bool    // ids of backend servers that were impaired at the last check
+	serverIDs        map[uint32]string  // ids of backend servers by their number in gossip messages
 	phase            dispatcher.Phase
 	stopTimes        dispatcher.StopSchedule
 	registeredHosts  []gossiper.RegisteredHost // registered hosts except this one
@@ -285,6 +286,7 @@
 	if now-l.gossipedAt >= heartbeatInterval-tickInterval/2 {
 		l.gossipedAt = now
 		l.applyPeerState(now)
+		l.updateLimited(now)
 		l.startGossipRound(now)
 	}
 	if now-l.sweptAt >= sweepInterval {
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -263,11 +263,11 @@
 	var shed *roundtripper.ShedError
 	switch {
 	case err == nil && resp.Status >= http.StatusInternalServerError:
-		return placer.Failed, c.reportedLoad(resp)
+		return placer.Failed, c.reportedLoad(resp.Header)
 	case err == nil:
-		return placer.Answered, c.reportedLoad(resp)
+		return placer.Answered, c.reportedLoad(resp.Header)
 	case errors.As(err, &shed):
-		return placer.Shed, c.dispatcher.codec.DecodeLoad(shed.Load())
+		return placer.Shed, c.reportedLoad(shed.Header())
 	case errors.Is(err, roundtripper.ErrMisdirected):
 		return placer.Misdirected, placer.Load{}
 	case c.r.Context().Err() != nil:
@@ -278,9 +278,15 @@
 	return placer.Failed, placer.Load{}
 }
 
-// reportedLoad decodes the load header of a response.
-func (c *call) reportedLoad(resp *roundtripper.Response) placer.Load {
-	return c.dispatcher.codec.DecodeLoad(resp.Header.Get(c.dispatcher.headerNames.Load))
+// reportedLoad decodes the load and the request limit that a backend server reports in
+// the headers of a response.
+func (c *call) reportedLoad(headers http.Header) placer.Load {
+	load := c.dispatcher.codec.DecodeLoad(headers.Get(c.dispatcher.headerNames.Load))
+	load.Limit = c.dispatcher.codec.DecodeRequestLimit(headers)
+	if !load.Limit.Known {
+		c.dispatcher.scope.Counter("request_limits_malformed").Inc(1)
+	}
+	return load
 }
 
 // afterFailure decides after a failed attempt whether to retry, to forward the
--- a/internal/dispatcher/testhost_test.go
+++ b/internal/dispatcher/testhost_test.go
@@ -30,6 +30,10 @@
 // headerCodec is a simple format of header values.
 type headerCodec struct{}
 
+func (headerCodec) DecodeRequestLimit(http.Header) placer.RequestLimit {
+	return placer.RequestLimit{Known: true}
+}
+
 func (headerCodec) DecodeLoad(field string) placer.Load {
 	var load placer.Load
 	var slots int
--- a/internal/roundtripper/response.go
+++ b/internal/roundtripper/response.go
@@ -13,9 +13,9 @@
 	"magnoliahill.example/magnoliahill/internal/forwarder"
 )
 
-// ShedError is a forwarder.ErrShed with the load header of the backend server.
+// ShedError is a forwarder.ErrShed with the headers of the backend server's response.
 type ShedError struct {
-	load string
+	header http.Header
 }
 
 // Error implements error.
@@ -24,8 +24,8 @@
 // Is makes errors.Is match forwarder.ErrShed.
 func (e *ShedError) Is(target error) bool { return target == forwarder.ErrShed }
 
-// Load returns the load header of the response, or "".
-func (e *ShedError) Load() string { return e.load }
+// Header returns the headers of the response.
+func (e *ShedError) Header() http.Header { return e.header }
 
 // drain discards the body of a response if it has arrived completely, so that the
 // connection can be reused. Otherwise it closes the connection: the request may
--- a/pkg/placer/server.go
+++ b/pkg/placer/server.go
@@ -25,7 +25,8 @@
 type Load struct {
 	Running int
 	Waiting int
-	Known   bool // false if the server reported no load
+	Known   bool         // false if the server reported no load
+	Limit   RequestLimit // known or not independently of the load
 }
 
 // objectKey identifies an object of a route.
@@ -51,6 +52,7 @@
 	ejections       int // consecutive
 	ejectedUntil    time.Duration
 	assumeColdUntil time.Duration               // until then the server is treated as cold
+	limit           serverLimit                 // of the requests of all hosts
 	allowance       *allowance                  // nil until needed
 	handled         map[objectKey]time.Duration // when the server last handled an object
 	openAttempts    []openAttempt               // one for each of running
@@ -112,6 +114,9 @@
 		s.reportedAt = now
 		s.ownAtReport = s.running
 	}
+	if load.Limit.Known {
+		s.limit.observe(now, load.Limit.Limited, load.Limit.PerSecond)
+	}
 	switch outcome {
 	case Answered:
 		s.ejections = 0
