placer, controller: keep to the request limits that backend servers name

Cause: nothing read the header. The class: a limit that counts over all hosts was stated outside the configuration, by answers, and had no place in the model. Fix: a limit is shared like the rate of a cold server, by a few selected senders with a bucket each; other requests go to the next servers of the object's order. Hosts tell one another of limits and of their end.

--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -117,6 +117,7 @@
 // and health reports.
 func (l *loop) gossipMessage(now time.Duration, recipient gossiper.Recipient, load gossiper.Load) *peerv1.Greeting {
 	m := l.storeState(now)
+	m.Limits = messenger.EncodeLimits(l.limitReports(now))
 	m.Records = messenger.EncodeLoadRecords(l.gossiper.LoadRecords(now, load, recipient.OtherZone))
 	l.addHeartbeats(now, m, recipient, l.tracker.Heartbeats(now))
 	return m
--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -3,6 +3,9 @@
 package messenger
 
 import (
+	"math"
+	"time"
+
 	"magnoliahill.example/magnoliahill/internal/activator"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
 	"magnoliahill.example/magnoliahill/internal/storer"
@@ -314,6 +317,32 @@
 	return reports
 }
 
+const limitScale = 1000 // request limits are sent in thousandths of a request per second
+
+// EncodeLimits converts the request limits of backend servers, by the hash of the
+// server's id, to their wire type.
+func EncodeLimits(limits map[uint32]placer.LimitReport) []*peerv1.ServerLimit {
+	wire := make([]*peerv1.ServerLimit, 0, len(limits))
+	for server, r := range limits {
+		wire = append(wire, &peerv1.ServerLimit{
+			Server: server, Rate: uint32(min(r.PerSecond*limitScale+0.5, math.MaxUint32)),
+			Ended: !r.Limited, Age: uint32(r.Age.Milliseconds()),
+		})
+	}
+	return wire
+}
+
+// DecodeLimits converts request limits of backend servers from their wire type.
+func DecodeLimits(wire []*peerv1.ServerLimit) map[uint32]placer.LimitReport {
+	limits := make(map[uint32]placer.LimitReport, len(wire))
+	for _, w := range wire {
+		limits[w.GetServer()] = placer.LimitReport{
+			Limited: !w.GetEnded(), PerSecond: float64(w.GetRate()) / limitScale, Age: time.Duration(w.GetAge()) * time.Millisecond,
+		}
+	}
+	return limits
+}
+
 // EncodePosition converts a host's position in the history of a kind to its wire type.
 func EncodePosition(kind string, p storer.Position) *peerv1.Position {
 	return &peerv1.Position{Kind: kind, Revision: p.Revision(), Era: p.Era()}
--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -202,15 +202,39 @@
 	return slices.ContainsFunc(list, func(c candidate) bool { return c.server == s })
 }
 
-// eligible reports whether the request may run at a server: the server was not
-// attempted before, and its region is allowed.
+// eligible reports whether the request may run at a server now: the server was not
+// attempted before, its region is allowed, and so does its request limit.
 func (c *choice) eligible(s *server) bool {
+	return c.mayRun(s) && c.placer.withinLimit(c.now, s)
+}
+
+// mayRun reports whether the request may run at a server: the server was not attempted
+// before, and its region is allowed.
+func (c *choice) mayRun(s *server) bool {
 	if slices.Contains(c.query.Attempted, s.ID()) {
 		return false
 	}
 	return c.query.AllowedRegions == nil || slices.Contains(c.query.AllowedRegions, s.region)
 }
 
+// limitedDelay returns the time after which a request that no server may take now
+// can be sent within the request limits of the servers.
+func (c *choice) limitedDelay() time.Duration {
+	delay, limited := maxRetryDelay, false
+	for _, s := range c.pool.servers {
+		if !c.mayRun(s) {
+			continue
+		}
+		if wait, ok := c.placer.limitWait(c.now, s); ok && wait > 0 {
+			delay, limited = min(delay, wait), true
+		}
+	}
+	if !limited {
+		return noServerRetryDelay
+	}
+	return delay
+}
+
 func (c *choice) candidate(key objectKey, s *server, rank int) candidate {
 	slowness := s.slowness(c.now)
 	run := time.Duration(slowness * float64(c.runTimes.expected(rank < warmCopies || s.warm(c.now, key))))
--- a/pkg/placer/coldlimit.go
+++ b/pkg/placer/coldlimit.go
@@ -32,10 +32,20 @@
 	return a.bucket != nil && a.bucket.Take(now, limiter.Unit)
 }
 
-// takeAllowance reports whether a request may be sent to a server. If the
-// server is or may be cold and its cold rate is known, the request is deducted
-// from the host's share.
+// takeAllowance reports whether a request may be sent to a server, and deducts it
+// from the host's shares of the server's cold rate and of its request limit.
 func (p *Placer) takeAllowance(now time.Duration, s *server) bool {
+	if !p.withinLimit(now, s) || !p.takeColdAllowance(now, s) {
+		return false
+	}
+	s.limit.take(now)
+	return true
+}
+
+// takeColdAllowance reports whether a request may be sent to a server that may be
+// cold. If it is and its cold rate is known, the request is deducted from the
+// host's share.
+func (p *Placer) takeColdAllowance(now time.Duration, s *server) bool {
 	if s.coldRate <= 0 || !s.maybeCold(now) {
 		return true
 	}
--- a/pkg/placer/limits_test.go
+++ b/pkg/placer/limits_test.go
@@ -150,8 +150,18 @@
 	})
 }
 
-// gossip is where hosts exchange what they know.
-func (r *limitRun) gossip(time.Duration) {}
+// gossip lets each host apply what the others report, each message with a loss of a
+// third.
+func (r *limitRun) gossip(now time.Duration) {
+	for from, sender := range r.hosts {
+		reports := sender.Limits(now)
+		for to, receiver := range r.hosts {
+			if from != to && len(reports) > 0 && r.rng.IntN(3) > 0 {
+				receiver.ApplyLimits(now, reports)
+			}
+		}
+	}
+}
 
 // mostInWindow returns the largest number of arrivals in any window while a limit binds.
 func mostInWindow(arrivals []time.Duration) int {
@@ -200,3 +210,58 @@
 		})
 	}
 }
+
+func TestRequestsReturnToAServerWhoseLimitHasEnded(t *testing.T) {
+	for _, c := range readLimitCases(t) {
+		t.Run(c.Name, func(t *testing.T) {
+			r := newLimitRun(c)
+			r.run()
+			for i := range c.Limits {
+				before, after := 0, 0
+				for _, at := range r.all[serverName(i)] {
+					switch {
+					case at < limitBegins:
+						before++
+					case at >= limitDuration-limitBegins:
+						after++
+					}
+				}
+				if 2*after < before {
+					t.Errorf("%s got %d requests in %v before its limit and %d after it", serverName(i), before, limitBegins, after)
+				}
+			}
+		})
+	}
+}
+
+// The hosts that a limit selects as senders may all be down.
+func TestOtherHostsSendToALimitedServerWhoseSendersAreDown(t *testing.T) {
+	c := limitCase{Hosts: 11, Servers: 1, Slots: 8, Rate: 40, Limits: []float64{2}}
+	r := newLimitRun(c)
+	for now := time.Duration(0); now < 9*time.Second; now += limitStep {
+		r.finish(now)
+		r.send(now)
+		if now%(500*time.Millisecond) == 0 {
+			r.gossip(now)
+		}
+	}
+	var others []*placer.Placer
+	for i, host := range r.hosts {
+		sent := slices.ContainsFunc(r.running, func(request limitedRequest) bool { return request.host == i })
+		if _, verdict, _ := host.Choose(10*time.Second, query("")); verdict != placer.Chosen && !sent {
+			others = append(others, host)
+		}
+	}
+	served := func(now time.Duration) bool {
+		return slices.ContainsFunc(others, func(host *placer.Placer) bool {
+			_, verdict, _ := host.Choose(now, query(""))
+			return verdict == placer.Chosen
+		})
+	}
+	if served(11 * time.Second) {
+		t.Error("a host that is not selected sent a request while answers were recent")
+	}
+	if !served(20 * time.Second) {
+		t.Error("no other host sent a request after 10 s without an answer")
+	}
+}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -120,6 +120,7 @@
 	p.coldLimiter.hosts = names
 	for _, s := range p.servers {
 		s.allowance = nil
+		s.limit.rank = -1
 	}
 }
 
@@ -172,7 +173,11 @@
 func (p *Placer) serverFor(now time.Duration, r registrar.Registered, service Service) *server {
 	s := p.servers[r.ID()]
 	if s == nil || !s.SameIncarnation(r.Instance) {
+		restarted := s != nil
 		s = newServer(now, r, p.regions[r.Zone()])
+		if restarted {
+			s.limit.observedAt = now // what other hosts heard before concerns the earlier run
+		}
 	}
 	s.Registered = r
 	s.coldRate = service.ColdRate
@@ -220,7 +225,7 @@
 	case excess > 0:
 		return Pick{}, NoRoom, min(excess, maxRetryDelay)
 	}
-	return Pick{}, NoServer, noServerRetryDelay
+	return Pick{}, NoServer, c.limitedDelay()
 }
 
 // routeRunTimes returns the run times of the query's route.
--- a/pkg/placer/server.go
+++ b/pkg/placer/server.go
@@ -64,6 +64,7 @@
 		Registered: r, region: region,
 		slownessAvg: 1, slownessAt: now, failureAt: now, reportedAt: now,
 		handled: map[objectKey]time.Duration{},
+		limit:   serverLimit{rank: -1},
 	}
 }
 
