placer: hand out nine tenths of a limit, to more senders

While all servers of a service name a limit, every request that the limits leave unused is a refusal that was not needed. Senders had 0.7 of a limit, as of a cold server's. That reserve covers hosts that disagree about the fleet; the users' rule leaves half of the limit and five requests for that, and excuses hosts that restart, freeze or are cut. With two to four senders, two takeovers at most and a burst of one each, the sum over 4 s is at most 6 + 4.5 times the limit.

--- a/pkg/placer/limit.go
+++ b/pkg/placer/limit.go
@@ -7,12 +7,13 @@
 )
 
 const (
-	limitShare            = 0.7              // share of a server's limit that is handed out to the hosts; the rest covers hosts whose views of the fleet differ
+	limitShare            = 0.9              // share of a server's limit that is handed out to the hosts; the rest covers hosts whose views of the fleet differ
 	minLimitRate          = 0.2              // requests per second to a server with a lower limit, to learn when the limit ends
 	minLimitSenders       = 2                // hosts that send to a server with a limit
 	maxLimitSenders       = 4                // the same, with a high limit
-	limitPerSender        = 7.5              // requests per second of a limit for each sender beyond the fewest
+	limitPerSender        = 2.5              // requests per second of a limit for each sender beyond the fewest
 	limitTakeoverInterval = 5 * time.Second  // without an answer from the server, after which one more host becomes a sender: the others may be down
+	maxLimitTakeovers     = 2                // further senders of this kind at most: each may send at once
 	limitTTL              = 30 * time.Second // without an answer, after which a limit is forgotten
 	endedLimitTTL         = 5 * time.Second  // for which the end of a limit is reported: several rounds of gossip through two relays
 )
@@ -82,7 +83,7 @@
 // isSender reports whether this host may send to the server while its limit holds.
 func (l *serverLimit) isSender(now time.Duration) bool {
 	takeovers := int((now - l.observedAt) / limitTakeoverInterval)
-	return l.rank < limitSenders(l.perSecond)+takeovers
+	return l.rank < limitSenders(l.perSecond)+min(takeovers, maxLimitTakeovers)
 }
 
 // wait returns the time until the limit allows a request of this host, 0 if it does
--- a/pkg/placer/loads_test.go
+++ b/pkg/placer/loads_test.go
@@ -24,6 +24,7 @@
 	rng         *rand.Rand
 	now         time.Duration
 	hosts       []*placer.Placer
+	names       []string // of the hosts
 	servers     map[string]*server
 	instances   []registrar.Registered
 	inFlight    []simulatedRequest
@@ -82,6 +83,12 @@
 		By     float64
 		From   float64
 	}
+	// Servers whose IDs start with the prefix name a request limit for a time.
+	Limited struct {
+		Server    string
+		PerSecond float64 `yaml:"per-second"`
+		From, To  float64
+	}
 	// Bounds on the results, as shares of the requests.
 	MinOnTime float64 `yaml:"min-on-time"`
 	MaxLost   float64 `yaml:"max-lost"`
@@ -109,8 +116,12 @@
 			p := placer.New(fmt.Sprint("host-", zone, i), placer.Location{Zone: zone, Region: regions[zone]}, regions)
 			p.Update(0, []placer.Service{{Name: service}}, sim.instances, nil)
 			sim.hosts = append(sim.hosts, p)
+			sim.names = append(sim.names, fmt.Sprint("host-", zone, i))
 		}
 	}
+	for _, host := range sim.hosts {
+		host.SetHosts(sim.names)
+	}
 	return sim
 }
 
@@ -135,6 +146,7 @@
 		}
 	}
 	sim.gossipDemand()
+	sim.gossipLimits()
 	sim.reported, sim.ownReported = map[string]int{}, nil
 	for _, host := range sim.hosts {
 		own := host.Running()
@@ -183,6 +195,18 @@
 	}
 }
 
+// gossipLimits lets each host apply the request limits that the others know.
+func (sim *simulation) gossipLimits() {
+	for i, host := range sim.hosts {
+		limits := host.Limits(sim.now)
+		for j, other := range sim.hosts {
+			if i != j && len(limits) > 0 {
+				other.ApplyLimits(sim.now, limits)
+			}
+		}
+	}
+}
+
 func (sim *simulation) region(host int) string {
 	zones := slices.Sorted(maps.Keys(regions))
 	return regions[zones[host/max(1, sim.workload.Hosts)]]
@@ -232,7 +256,7 @@
 		s.waiting = append(s.waiting, request)
 	default:
 		sim.results.shed++
-		sim.hosts[host].Done(sim.now, pick, placer.Shed, sim.report(s))
+		sim.hosts[host].Done(sim.now, pick, placer.Shed, sim.report(pick.ID(), s))
 	}
 }
 
@@ -247,8 +271,13 @@
 	sim.inFlight = append(sim.inFlight, request)
 }
 
-func (sim *simulation) report(s *server) placer.Load {
-	return placer.Load{Running: s.running, Waiting: len(s.waiting), Known: true}
+func (sim *simulation) report(id string, s *server) placer.Load {
+	load := placer.Load{Running: s.running, Waiting: len(s.waiting), Known: true, Limit: placer.RequestLimit{Known: true}}
+	limited, at := sim.workload.Limited, sim.now.Seconds()
+	if limited.PerSecond > 0 && strings.HasPrefix(id, limited.Server) && at >= limited.From && at < limited.To {
+		load.Limit.Limited, load.Limit.PerSecond = true, limited.PerSecond
+	}
+	return load
 }
 
 func (sim *simulation) finishRequests() {
@@ -266,7 +295,7 @@
 		s := sim.servers[request.pick.ID()]
 		s.running--
 		s.warm[request.object] = true
-		sim.hosts[request.host].Done(sim.now, request.pick, placer.Answered, sim.report(s))
+		sim.hosts[request.host].Done(sim.now, request.pick, placer.Answered, sim.report(request.pick.ID(), s))
 		switch took := sim.now - request.arrived; {
 		case took <= sim.workload.Goal:
 			sim.results.onTime++
