placer, controller: send nothing new to servers that say in answers that they leave

Callers' requests went on to a leaving server until the store said so, which may be long after, or never during an outage of the store. Cause: nothing read the header that a leaving server sets in its answers. Fix: the first such answer, also a refusal or the head of a long answer, takes the run out of its pool; gossip names the run to the other hosts. Evidence: TestServerThatSaysInAnswersThatItLeavesGetsNoNewRequests failed before (1,728 requests in a second to a server that had said that it leaves), and so did TestLastServerThatSaysInAnswersThatItLeavesGetsNoNewRequests (200 where a refusal is due); both pass.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -54,8 +54,10 @@
 	config           activeConfig
 	evacuatedZones   []string
 	limited          map[string]float64 // request limits of backend servers at the last check, by id
+	leaving          []string           // ids of backend servers that left by their answers at the last check
 	impaired         map[string]bool    // ids of backend servers that were impaired at the last check
 	serverIDs        map[uint32]string  // ids of backend servers by their number in gossip messages
+	serverRuns       map[uint32]string  // the same by the number of their present run
 	phase            dispatcher.Phase
 	stopTimes        dispatcher.StopSchedule
 	registeredHosts  []gossiper.RegisteredHost // registered hosts except this one
@@ -287,6 +289,7 @@
 		l.gossipedAt = now
 		l.applyPeerState(now)
 		l.updateLimited(now)
+		l.updateLeaving()
 		l.startGossipRound(now)
 	}
 	if now-l.sweptAt >= sweepInterval {
--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -107,7 +107,9 @@
 func (l *loop) retainConnections(instances []registrar.Registered) {
 	targets := make([]roundtripper.Target, 0, len(instances))
 	l.serverIDs = make(map[uint32]string, len(instances))
+	l.serverRuns = make(map[uint32]string, len(instances))
 	for _, i := range instances {
+		l.serverRuns[runHash(i.Instance)] = i.ID()
 		targets = append(targets, roundtripper.Target{Address: i.Address(), Instance: i.ID()})
 		l.serverIDs[gossiper.NameHash(i.ID())] = i.ID()
 	}
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -278,11 +278,10 @@
 	return placer.Failed, placer.Load{}
 }
 
-// reportedLoad decodes the load and the request limit that a backend server reports in
-// the headers of a response.
+// reportedLoad decodes what a backend server reports of itself in the headers of a
+// response.
 func (c *call) reportedLoad(headers http.Header) placer.Load {
-	load := c.dispatcher.codec.DecodeLoad(headers.Get(c.dispatcher.headerNames.Load))
-	load.Limit = c.dispatcher.codec.DecodeRequestLimit(headers)
+	load := c.dispatcher.codec.DecodeReport(headers)
 	if !load.Limit.Known {
 		c.dispatcher.scope.Counter("request_limits_malformed").Inc(1)
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -71,10 +71,9 @@
 
 // HeaderCodec decodes and formats header values in the format of the deployment.
 type HeaderCodec interface {
-	DecodeLoad(field string) placer.Load
-	// DecodeRequestLimit decodes what a response of a backend server says about its
-	// request limit. The result is unknown if the statement is malformed.
-	DecodeRequestLimit(headers http.Header) placer.RequestLimit
+	// DecodeReport decodes what a backend server reports of itself in the headers of a
+	// response. Malformed parts are unknown.
+	DecodeReport(headers http.Header) placer.Load
 	FormatRetryAfter(d time.Duration) string
 }
 
--- a/internal/dispatcher/testhost_test.go
+++ b/internal/dispatcher/testhost_test.go
@@ -30,11 +30,8 @@
 // headerCodec is a simple format of header values.
 type headerCodec struct{}
 
-func (headerCodec) DecodeRequestLimit(http.Header) placer.RequestLimit {
-	return placer.RequestLimit{Known: true}
-}
-
-func (headerCodec) DecodeLoad(field string) placer.Load {
+func (headerCodec) DecodeReport(headers http.Header) placer.Load {
+	field := headers.Get(headerNames.Load)
 	var load placer.Load
 	var slots int
 	n, _ := fmt.Sscanf(field, "%d,%d,%d", &load.Running, &load.Waiting, &slots)
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -66,6 +66,7 @@
 	mu            sync.Mutex
 	plannedFaults []Fault // of the next responses, in order
 	runs          []Execution
+	extraHeaders  string // of all responses but misdirected ones; each header ends with a line break
 	connections   int
 	open          map[net.Conn]bool
 	forgotten     map[net.Conn]bool // connections that are reset at their next request
@@ -126,6 +127,20 @@
 	t.plannedFaults = append(t.plannedFaults, faults...)
 }
 
+// SetExtraHeader adds a header to all further responses, except those to misdirected
+// requests.
+func (t *Responder) SetExtraHeader(name, value string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.extraHeaders += name + ": " + value + "\r\n"
+}
+
+func (t *Responder) extra() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.extraHeaders
+}
+
 // Executions returns the executed requests in order.
 func (t *Responder) Executions() []Execution {
 	t.mu.Lock()
@@ -221,7 +236,7 @@
 		return false
 	}
 	if fault == Shed {
-		return t.write(conn, "HTTP/1.1 503 Service Unavailable\r\n"+t.headers.NotRun+": 1\r\n"+t.headers.Load+": 1,0,8\r\nContent-Length: 0\r\n\r\n")
+		return t.write(conn, "HTTP/1.1 503 Service Unavailable\r\n"+t.headers.NotRun+": 1\r\n"+t.headers.Load+": 1,0,8\r\n"+t.extra()+"Content-Length: 0\r\n\r\n")
 	}
 	t.mu.Lock()
 	t.runs = append(t.runs, Execution{Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: string(body), Header: r.Header})
@@ -240,7 +255,7 @@
 // sendResponse sends the response with a fault and reports whether the connection
 // stays open.
 func (t *Responder) sendResponse(conn net.Conn, fault Fault, id, body string) bool {
-	response := t.formatHead("200 OK", id, len(body), "") + body
+	response := t.formatHead("200 OK", id, len(body), t.extra()) + body
 	switch fault {
 	case NoResponse:
 		return false
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -69,6 +69,7 @@
 	self        string
 	location    Location
 	regions     map[string]string // region of each availability zone
+	services    []Service
 	pools       map[string]*pool
 	servers     map[string]*server
 	runTimes    map[string]*runTimes // by route
@@ -144,6 +145,7 @@
 		servers[r.ID()] = p.serverFor(now, r, service)
 	}
 	p.servers = servers
+	p.services = services
 	p.rebuildPools(services)
 }
 
@@ -179,13 +181,16 @@
 			s.limit.observedAt = now // what other hosts heard before concerns the earlier run
 		}
 	}
+	if s.State() == registrar.Draining && r.State() == registrar.Ready {
+		s.leaving = false // it changed its mind
+	}
 	s.Registered = r
 	s.coldRate = service.ColdRate
 	return s
 }
 
 // rebuildPools builds a pool for each service from its ready servers outside
-// evacuated zones. Each pool inherits from the previous pool of the service.
+// evacuated zones, without those that leave. Each pool inherits from the previous pool of the service.
 func (p *Placer) rebuildPools(services []Service) {
 	pools := make(map[string]*pool, len(services))
 	for _, service := range services {
@@ -195,7 +200,7 @@
 		if pools[s.Service()] == nil {
 			pools[s.Service()] = newPool(p.location, p.regions)
 		}
-		if s.State() == registrar.Ready && !p.evacuated[s.Zone()] {
+		if s.State() == registrar.Ready && !s.leaving && !p.evacuated[s.Zone()] {
 			pools[s.Service()].add(s)
 		}
 	}
@@ -243,6 +248,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pick.server.done(now, pick, outcome, load)
+	if load.Leaving {
+		p.markLeaving(pick.server)
+	}
 	if outcome == Answered {
 		pick.observeRunTime(now)
 	}
--- a/pkg/placer/server.go
+++ b/pkg/placer/server.go
@@ -27,6 +27,7 @@
 	Waiting int
 	Known   bool         // false if the server reported no load
 	Limit   RequestLimit // known or not independently of the load
+	Leaving bool         // the server said that it leaves
 }
 
 // objectKey identifies an object of a route.
@@ -53,6 +54,7 @@
 	ejectedUntil    time.Duration
 	assumeColdUntil time.Duration               // until then the server is treated as cold
 	limit           serverLimit                 // of the requests of all hosts
+	leaving         bool                        // it said in an answer that it leaves; stays set for this run
 	allowance       *allowance                  // nil until needed
 	handled         map[objectKey]time.Duration // when the server last handled an object
 	openAttempts    []openAttempt               // one for each of running
