placer, platform: keep to the Retry-After of backend servers

A server that turned a request away and said for how long it wants nothing got the host's next request at once. Cause: the header of a refusal was not read; a refusal counted only as load. Fix: the server gets nothing from that host until then, and then more requests step by step, spread over the hosts. Refusals of callers name the soonest time at which a server takes a request of this host again.

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -263,11 +263,11 @@
 	var shed *roundtripper.ShedError
 	switch {
 	case err == nil && resp.Status >= http.StatusInternalServerError:
-		return placer.Failed, c.reportedLoad(resp.Header)
+		return placer.Failed, c.reportedLoad(resp.Status, resp.Header)
 	case err == nil:
-		return placer.Answered, c.reportedLoad(resp.Header)
+		return placer.Answered, c.reportedLoad(resp.Status, resp.Header)
 	case errors.As(err, &shed):
-		return placer.Shed, c.reportedLoad(shed.Header())
+		return placer.Shed, c.reportedLoad(shed.Status(), shed.Header())
 	case errors.Is(err, roundtripper.ErrMisdirected):
 		return placer.Misdirected, placer.Load{}
 	case c.r.Context().Err() != nil:
@@ -279,9 +279,9 @@
 }
 
 // reportedLoad decodes what a backend server reports of itself in the headers of a
-// response.
-func (c *call) reportedLoad(headers http.Header) placer.Load {
-	load := c.dispatcher.codec.DecodeReport(headers)
+// response with a status.
+func (c *call) reportedLoad(status int, headers http.Header) placer.Load {
+	load := c.dispatcher.codec.DecodeReport(status, headers)
 	if !load.Limit.Known {
 		c.dispatcher.scope.Counter("request_limits_malformed").Inc(1)
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -72,8 +72,8 @@
 // HeaderCodec decodes and formats header values in the format of the deployment.
 type HeaderCodec interface {
 	// DecodeReport decodes what a backend server reports of itself in the headers of a
-	// response. Malformed parts are unknown.
-	DecodeReport(headers http.Header) placer.Load
+	// response with a status. Malformed parts are unknown.
+	DecodeReport(status int, headers http.Header) placer.Load
 	FormatRetryAfter(d time.Duration) string
 }
 
--- a/internal/dispatcher/testhost_test.go
+++ b/internal/dispatcher/testhost_test.go
@@ -30,7 +30,7 @@
 // headerCodec is a simple format of header values.
 type headerCodec struct{}
 
-func (headerCodec) DecodeReport(headers http.Header) placer.Load {
+func (headerCodec) DecodeReport(_ int, headers http.Header) placer.Load {
 	field := headers.Get(headerNames.Load)
 	var load placer.Load
 	var slots int
--- a/internal/roundtripper/response.go
+++ b/internal/roundtripper/response.go
@@ -13,8 +13,10 @@
 	"magnoliahill.example/magnoliahill/internal/forwarder"
 )
 
-// ShedError is a forwarder.ErrShed with the headers of the backend server's response.
+// ShedError is a forwarder.ErrShed with the status and headers of the backend server's
+// response.
 type ShedError struct {
+	status int
 	header http.Header
 }
 
@@ -24,6 +26,9 @@
 // Is makes errors.Is match forwarder.ErrShed.
 func (e *ShedError) Is(target error) bool { return target == forwarder.ErrShed }
 
+// Status returns the status of the response.
+func (e *ShedError) Status() int { return e.status }
+
 // Header returns the headers of the response.
 func (e *ShedError) Header() http.Header { return e.header }
 
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -327,7 +327,7 @@
 	case resp.StatusCode == http.StatusMisdirectedRequest && (notRun || !x.signed(resp)):
 		return ErrMisdirected
 	case notRun:
-		return &ShedError{header: resp.Header}
+		return &ShedError{status: resp.StatusCode, header: resp.Header}
 	}
 	return nil
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -67,6 +67,7 @@
 	plannedFaults []Fault // of the next responses, in order
 	runs          []Execution
 	extraHeaders  string // of all responses but misdirected ones; each header ends with a line break
+	requests      int    // received, executed or not
 	connections   int
 	open          map[net.Conn]bool
 	forgotten     map[net.Conn]bool // connections that are reset at their next request
@@ -127,6 +128,13 @@
 	t.plannedFaults = append(t.plannedFaults, faults...)
 }
 
+// Requests returns the number of requests received so far, executed or not.
+func (t *Responder) Requests() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.requests
+}
+
 // SetExtraHeader adds a header to all further responses, except those to misdirected
 // requests.
 func (t *Responder) SetExtraHeader(name, value string) {
@@ -208,6 +216,9 @@
 
 // handle responds to one request and reports whether the connection stays open.
 func (t *Responder) handle(conn net.Conn, r *http.Request) bool {
+	t.mu.Lock()
+	t.requests++
+	t.mu.Unlock()
 	fault := t.nextFault()
 	id := r.Header.Get(t.headers.RequestID)
 	if fault == EarlyResponse {
--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -203,9 +203,10 @@
 }
 
 // eligible reports whether the request may run at a server now: the server was not
-// attempted before, its region is allowed, and so does its request limit.
+// attempted before, its region is allowed, and the server takes a request now by its
+// request limit and its Retry-After.
 func (c *choice) eligible(s *server) bool {
-	return c.mayRun(s) && c.placer.withinLimit(c.now, s)
+	return c.mayRun(s) && s.pauseWait(c.now) == 0 && c.placer.withinLimit(c.now, s)
 }
 
 // mayRun reports whether the request may run at a server: the server was not attempted
@@ -217,19 +218,20 @@
 	return c.query.AllowedRegions == nil || slices.Contains(c.query.AllowedRegions, s.region)
 }
 
-// limitedDelay returns the time after which a request that no server may take now
-// can be sent within the request limits of the servers.
-func (c *choice) limitedDelay() time.Duration {
-	delay, limited := maxRetryDelay, false
+// retryDelay returns the time after which a request that no server takes now may be
+// taken, by the request limits and the Retry-After of the servers.
+func (c *choice) retryDelay() time.Duration {
+	delay, known := maxRetryDelay, false
 	for _, s := range c.pool.servers {
 		if !c.mayRun(s) {
 			continue
 		}
-		if wait, ok := c.placer.limitWait(c.now, s); ok && wait > 0 {
-			delay, limited = min(delay, wait), true
+		limitWait, ok := c.placer.limitWait(c.now, s)
+		if wait := max(limitWait, s.pauseWait(c.now)); ok && wait > 0 {
+			delay, known = min(delay, wait), true
 		}
 	}
-	if !limited {
+	if !known {
 		return noServerRetryDelay
 	}
 	return delay
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -230,7 +230,7 @@
 	case excess > 0:
 		return Pick{}, NoRoom, min(excess, maxRetryDelay)
 	}
-	return Pick{}, NoServer, c.limitedDelay()
+	return Pick{}, NoServer, c.retryDelay()
 }
 
 // routeRunTimes returns the run times of the query's route.
@@ -248,6 +248,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pick.server.done(now, pick, outcome, load)
+	if load.RetryAfter > 0 {
+		pick.server.pause(now, load.RetryAfter, p.self)
+	}
 	if load.Leaving {
 		p.markLeaving(pick.server)
 	}
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -295,3 +295,34 @@
 	update(p, 0, 0, nil, instance("one", "a1", registrar.WithIncarnation(2)))
 	is.True(!p.Summaries(0)[0].Ejected)
 }
+
+// Hosts that a server turned away together must not return to it together.
+func TestRequestsReturnGraduallyAfterRetryAfter(t *testing.T) {
+	is := is.New(t)
+	var hosts []*placer.Placer
+	for i := range 11 {
+		p := placer.New(fmt.Sprint("host-", i), placer.Location{Zone: "a1", Region: "a"}, regions)
+		update(p, 0, 0, nil, instance("busy", "a1"))
+		pick, _, _ := p.Choose(0, query(""))
+		p.Done(0, pick, placer.Shed, placer.Load{RetryAfter: 2 * time.Second})
+		hosts = append(hosts, p)
+	}
+	sent := func(from, until time.Duration) (n int) {
+		for now := from; now < until; now += 10 * time.Millisecond {
+			for _, host := range hosts {
+				if _, verdict, _ := host.Choose(now, query("")); verdict == placer.Chosen {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	_, verdict, wait := hosts[0].Choose(time.Second, query(""))
+	is.Equal(verdict, placer.NoServer)
+	is.True(wait >= time.Second && wait <= 1500*time.Millisecond) // until this host may send again
+	is.Equal(sent(100*time.Millisecond, 2*time.Second), 0)
+	first := sent(2*time.Second, 2250*time.Millisecond)
+	is.True(first > 0 && first < 11) // none of them ends
+	is.True(first+sent(2250*time.Millisecond, 2500*time.Millisecond) <= 22)
+	is.True(sent(2500*time.Millisecond, 6*time.Second) > 22)
+}
--- a/pkg/placer/server.go
+++ b/pkg/placer/server.go
@@ -28,6 +28,9 @@
 	Known   bool         // false if the server reported no load
 	Limit   RequestLimit // known or not independently of the load
 	Leaving bool         // the server said that it leaves
+	// RetryAfter is for how long the server, which turned the request away, wants
+	// nothing from this host; 0 if it did not say.
+	RetryAfter time.Duration
 }
 
 // objectKey identifies an object of a route.
@@ -55,6 +58,7 @@
 	assumeColdUntil time.Duration               // until then the server is treated as cold
 	limit           serverLimit                 // of the requests of all hosts
 	leaving         bool                        // it said in an answer that it leaves; stays set for this run
+	pausedUntil     time.Duration               // the server wants nothing from this host before; 0 if it never said so
 	allowance       *allowance                  // nil until needed
 	handled         map[objectKey]time.Duration // when the server last handled an object
 	openAttempts    []openAttempt               // one for each of running
