controller: retain what the store lost in a restore until it is written again

After the store came back from a copy, servers that had left or announced that they drain got requests again, a zone that had just been evacuated was used, and one whose evacuation had ended was not. Cause: a list was taken as the present state, also where it was older than what the host held. Fix: registrations and evacuations of the earlier era, and removals, stay in force over those of the copy until the object changes in the new era or can no longer return. Servers' own counts of reports tell older registrations from newer ones. Open: a host that starts just then has only the copy of these kinds.

--- a/internal/controller/cache.go
+++ b/internal/controller/cache.go
@@ -12,11 +12,14 @@
 type objectCache struct {
 	kind         string
 	items        map[string]storer.Item
-	removed      []storer.Item   // latest removals of the present era, in order of revision
-	historyStart int64           // all changes of the present era up to it are in items; later removals are in removed
-	position     storer.Position // of the latest change; reported to other hosts; never decreases
-	listed       bool            // all objects were received once, from the store or another host
-	unreachable  bool            // this host's watch cannot reach the store
+	removed      []storer.Item        // latest removals of the present era, in order of revision
+	historyStart int64                // all changes of the present era up to it are in items; later removals are in removed
+	position     storer.Position      // of the latest change; reported to other hosts; never decreases
+	listed       bool                 // all objects were received once, from the store or another host
+	unreachable  bool                 // this host's watch cannot reach the store
+	retained     map[string]retention // what applies of an earlier era, by name
+	gone         []removal            // latest objects that were removed in any era, the last one last
+	retainedAt   int64                // revision of the list of the present era from which on changes end retentions
 
 	peerPosition   storer.Position // latest position that another host reported
 	peerAddress    string          // control address of that host
@@ -53,6 +56,7 @@
 // replaceAll replaces the cache by a complete list of the kind. A list of an
 // earlier era is ignored.
 func (c *objectCache) replaceAll(all storer.ItemList) {
+	known, sameEra := c.items, c.position.SameEra(all.Position())
 	if !c.enterEra(all.Position()) {
 		return
 	}
@@ -64,6 +68,11 @@
 		}
 		c.advance(item.Revision())
 	}
+	for name := range known {
+		if _, ok := c.items[name]; !ok && sameEra {
+			c.recordGone(name, known[name], all.Revision())
+		}
+	}
 	// A list does not contain earlier removals, but it reflects them.
 	if c.peerPosition.SameEra(c.position) && all.Revision() >= c.peerPosition.Revision() {
 		c.advance(c.peerPosition.Revision())
@@ -100,6 +109,7 @@
 			c.items[item.Name()] = item
 			continue
 		}
+		c.recordGone(item.Name(), c.items[item.Name()], item.Revision())
 		delete(c.items, item.Name())
 		c.removed = append(c.removed, item)
 	}
--- a/internal/controller/cache_test.go
+++ b/internal/controller/cache_test.go
@@ -4,6 +4,7 @@
 	"sort"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -134,3 +135,70 @@
 	is.Equal(itemNames(cache), "ac")
 	is.Equal(cache.position, storer.NewPosition(2, 43))
 }
+
+// newerByContent stands in for what the writers of objects say.
+func newerByContent(item, other storer.Item) bool {
+	return string(item.Content()) > string(other.Content())
+}
+
+func written(name string, revision int64, content string) storer.Item {
+	return storer.NewItem(name, revision, []byte(content))
+}
+
+func effectiveContents(c *objectCache) string {
+	var all []string
+	for name, item := range c.effective() {
+		all = append(all, name+string(item.Content()))
+	}
+	sort.Strings(all)
+	return strings.Join(all, " ")
+}
+
+// restoredCache held a2, b1 and d1, and has removed c1, when the store comes back with
+// the given objects.
+func restoredCache(copied ...storer.Item) *objectCache {
+	c := newObjectCache("k")
+	c.replaceAll(inEra(1, 20, written("a", 10, "2"), written("b", 11, "1"), written("c", 12, "1"), written("d", 13, "1")))
+	c.applyChanges(inEra(1, 21, storer.NewDeletedItem("c", 21)))
+	before := c.held()
+	c.replaceAll(inEra(2, 15, copied...))
+	c.retain(0, before, newerByContent)
+	return c
+}
+
+func TestOlderObjectsOfARestoredStoreReplaceNothing(t *testing.T) {
+	is := is.New(t)
+	c := restoredCache(written("a", 9, "1"), written("c", 12, "1"), written("d", 14, "2"))
+	is.Equal(effectiveContents(c), "a2 b1 d2") // a is older in the copy, b is missing, c was removed, d is newer
+	is.Equal(c.releaseExpired(missingRetention-1), 0)
+	is.Equal(c.releaseExpired(missingRetention), 1)
+	is.Equal(effectiveContents(c), "a2 d2") // b was not written again
+	is.Equal(c.releaseExpired(staleRetention), 2)
+	is.Equal(effectiveContents(c), "a1 c1 d2") // the store's state applies in the end
+}
+
+func TestChangesAfterARestoreApplyAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := restoredCache(written("a", 9, "1"), written("c", 12, "1"))
+	change := func(items ...storer.Item) int {
+		c.applyChanges(inEra(2, items[len(items)-1].Revision(), items...))
+		return len(c.release(items, newerByContent))
+	}
+	is.Equal(change(written("a", 16, "1")), 0) // written again, but older than what was held
+	is.Equal(change(written("a", 17, "3")), 1)
+	is.Equal(change(written("c", 18, "2")), 1)
+	is.Equal(change(storer.NewDeletedItem("d", 19)), 1)
+	is.Equal(effectiveContents(c), "a3 b1 c2")
+	c.replaceAll(inEra(2, 22, written("a", 17, "3"), written("b", 20, "1"), written("c", 18, "2")))
+	c.releaseListed(newerByContent)
+	is.Equal(len(c.retained), 0)
+}
+
+func TestSecondRestoreKeepsWhatTheFirstOneLost(t *testing.T) {
+	is := is.New(t)
+	c := restoredCache(written("a", 9, "1"), written("c", 12, "1"))
+	before := c.held()
+	c.replaceAll(inEra(3, 12, written("a", 9, "1"), written("c", 12, "1")))
+	c.retain(time.Second, before, newerByContent)
+	is.Equal(effectiveContents(c), "a2 b1 d1")
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -43,6 +43,9 @@
 	DecodeConfig(item storer.Item, regions map[string]string) (*cataloger.Catalog, error)
 	// DecodeServer reads the registration of a backend server.
 	DecodeServer(item storer.Item) (registrar.Instance, error)
+	// RegistrationPrecedes reports whether a registration of a backend server is
+	// certainly newer than another one of the same id, by what the server wrote.
+	RegistrationPrecedes(item, other storer.Item) bool
 	// DecodeLookup returns the host name, region and zone in a look-up request; each
 	// may be empty.
 	DecodeLookup(r *http.Request) (host, region, zone string)
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -243,12 +243,12 @@
 		if u.Kind == l.kinds.Servers {
 			l.registrar.StoreRegained(now)
 		}
-		cache.replaceAll(*u.Listed)
+		l.replaceObjects(now, cache, func() { cache.replaceAll(*u.Listed) })
 		l.applyUpdate(now, u.Kind, nil)
 		l.announceChanges(now)
 	case u.Changed != nil:
 		cache.applyChanges(*u.Changed)
-		l.applyUpdate(now, u.Kind, u.Changed)
+		l.applyChanges(now, cache, u.Changed.Items())
 		l.announceChanges(now)
 	}
 }
@@ -281,6 +281,7 @@
 
 // tick does the periodic work that is due.
 func (l *loop) tick(now time.Duration) {
+	l.releaseExpired(now)
 	if dropped := l.registrar.DropExpired(now); len(dropped) > 0 {
 		klog.InfoS("lapsed backend servers removed", "servers", dropped)
 		l.updatePlacer(now)
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -222,11 +222,12 @@
 		"era", objects.Position().Era(), "revision", objects.Revision(), "objects", len(objects.Items()), "changes", wire.GetChanges())
 	changes := wire.GetChanges() && cache.listed
 	l.checkRestore(cache, objects.Position())
-	cache.merge(objects, wire.GetComplete(), changes)
 	if changes {
-		l.applyUpdate(now, cache.kind, &objects)
+		cache.merge(objects, wire.GetComplete(), true)
+		l.applyChanges(now, cache, objects.Items())
 		return
 	}
+	l.replaceObjects(now, cache, func() { cache.merge(objects, wire.GetComplete(), false) })
 	l.applyUpdate(now, cache.kind, nil)
 }
 
--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -14,9 +14,16 @@
 	"magnoliahill.example/magnoliahill/pkg/registrar"
 )
 
-// applyUpdate applies the cached objects of a kind after an update. If changes is
-// nil, any object of the kind may have changed.
-func (l *loop) applyUpdate(now time.Duration, kind string, changes *storer.ItemList) {
+// applyChanges applies changes of a kind's objects that are in its cache.
+func (l *loop) applyChanges(now time.Duration, cache *objectCache, changes []storer.Item) {
+	if applied := cache.release(changes, l.precedence(cache.kind)); len(applied) > 0 {
+		l.applyUpdate(now, cache.kind, applied)
+	}
+}
+
+// applyUpdate applies the objects of a kind after an update. If changes is nil, any
+// object of the kind may have changed.
+func (l *loop) applyUpdate(now time.Duration, kind string, changes []storer.Item) {
 	switch kind {
 	case l.kinds.Config:
 		l.applyConfig(now, slices.Collect(maps.Values(l.caches[kind].items)))
@@ -31,18 +38,17 @@
 
 // applyServers applies registrations of backend servers. If changes is nil, the
 // cached registrations replace all earlier ones.
-func (l *loop) applyServers(now time.Duration, changes *storer.ItemList) {
-	items := l.caches[l.kinds.Servers].items
+func (l *loop) applyServers(now time.Duration, changes []storer.Item) {
 	if changes == nil {
 		var all []registrar.Instance
-		for _, item := range items {
+		for _, item := range l.caches[l.kinds.Servers].effective() {
 			if instance, ok := l.decodeServer(item); ok {
 				all = append(all, instance)
 			}
 		}
 		l.registrar.Replace(now, all)
 	} else {
-		for _, item := range changes.Items() {
+		for _, item := range changes {
 			l.applyServer(now, item)
 		}
 	}
@@ -80,7 +86,7 @@
 // applyEvacuations replaces the evacuated zones by those in the cache.
 func (l *loop) applyEvacuations(now time.Duration) {
 	l.evacuatedZones = l.evacuatedZones[:0]
-	for name := range l.caches[l.kinds.Evacuations].items {
+	for name := range l.caches[l.kinds.Evacuations].effective() {
 		l.evacuatedZones = append(l.evacuatedZones, name)
 	}
 	klog.InfoS("evacuated zones changed", "zones", l.evacuatedZones, "revision", l.caches[l.kinds.Evacuations].position.Revision())
