--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"magnoliahill.example/magnoliahill/internal/admitter"
 	"magnoliahill.example/magnoliahill/internal/forwarder"
@@ -217,6 +218,7 @@
 	c.triedIDs = append(c.triedIDs, pick.ID())
 	resp, err := c.dispatcher.roundTripper.RoundTrip(ctx, roundtripper.Target{Address: pick.Address(), Instance: pick.ID()}, c.outgoingRequest(pick, left))
 	outcome, load := c.classify(ctx, resp, err)
+	c.logPause(pick, load)
 	c.dispatcher.placer.Done(c.dispatcher.clock.Now(), pick, outcome, load)
 	c.recordAttempt(pick, resp, err)
 	if outcome == placer.Answered {
@@ -278,6 +280,16 @@
 	return placer.Failed, placer.Load{}
 }
 
+// logPause logs and counts that a backend server turned the request away and wants
+// nothing from this host for a while.
+func (c *call) logPause(pick placer.Pick, load placer.Load) {
+	if load.RetryAfter <= 0 {
+		return
+	}
+	klog.InfoS("backend server asks for a pause", "server", pick.ID(), "retryAfter", load.RetryAfter, "id", c.id, "load", pick.Load())
+	c.dispatcher.scope.Counter("backend_server_pauses").Inc(1)
+}
+
 // reportedLoad decodes what a backend server reports of itself in the headers of a
 // response with a status.
 func (c *call) reportedLoad(status int, headers http.Header) placer.Load {
