controller: count hosts whose registrations a store restore lost

A host whose registration the store lost, and that is cut off and cannot write it again, dropped out of the count of hosts by which rates, cold allowances and request limits are divided; the others took its part while it went on using it. Fix: registrations of hosts are retained like those of backend servers, for an hour. This host's own is still missed in the store itself, so that it is written again.

--- a/internal/controller/cache_test.go
+++ b/internal/controller/cache_test.go
@@ -162,7 +162,7 @@
 	c.applyChanges(inEra(1, 21, storer.NewDeletedItem("c", 21)))
 	before := c.held()
 	c.replaceAll(inEra(2, 15, copied...))
-	c.retain(0, before, newerByContent)
+	c.retain(0, missingRetention, before, newerByContent)
 	return c
 }
 
@@ -199,6 +199,6 @@
 	c := restoredCache(written("a", 9, "1"), written("c", 12, "1"))
 	before := c.held()
 	c.replaceAll(inEra(3, 12, written("a", 9, "1"), written("c", 12, "1")))
-	c.retain(time.Second, before, newerByContent)
+	c.retain(time.Second, missingRetention, before, newerByContent)
 	is.Equal(effectiveContents(c), "a2 b1 d1")
 }
--- a/internal/controller/discovery_test.go
+++ b/internal/controller/discovery_test.go
@@ -185,3 +185,23 @@
 	(&fetchResult{host: "127.0.0.1:1", err: errors.New("timed out")}).apply(l, time.Second)
 	is.True(l.watching)
 }
+
+// A host that is cut off has its part of the limits also when the store has lost its
+// registration, which it cannot write again.
+func TestHostWhoseRegistrationARestoreLostStillCounts(t *testing.T) {
+	is := is.New(t)
+	l := newTestLoop(t, "host")
+	l.watching = true
+	list := func(era int64, hosts storer.ItemList) {
+		listed := storer.NewItemList(hosts.Items(), hosts.Revision(), storer.WithEra(era))
+		storeUpdate{follower.Update{Kind: l.kinds.Hosts, Listed: &listed}}.apply(l, 0)
+	}
+	list(1, registeredHosts(t, "host", "cut-off", "near"))
+	is.Equal(l.hostCount, 3)
+	l.controller.platform = registeringPlatform{registered: make(chan string, 4)}
+	list(2, registeredHosts(t, "near"))
+	is.Equal(l.hostCount, 3)
+	is.True(l.registrationSent) // its own registration is missing in the store
+	l.releaseExpired(time.Minute)
+	is.Equal(l.hostCount, 3)
+}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -70,6 +70,7 @@
 	sweptAt             time.Duration
 	fetching            bool          // objects are being fetched from another host
 	retainingPeer       string        // control address of a host that retains objects which this host may lack; empty if there is none
+	firstListAt         time.Duration // when this host, having listed the store lately, first heard of retained objects; 0 if never
 	retentionQueryAfter time.Duration // time before which retained objects are not queried again
 	registrationSent    bool          // this host's registration was written or is being written, and has not been seen since
 }
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -76,7 +76,7 @@
 			l.caches[l.kindOrder[i]].recordPeerPosition(now, storer.NewPosition(m.GetEra(), revision), host.Control)
 		}
 	}
-	l.recordPeerRetention(m.GetRetained(), m.GetEra(), host.Control)
+	l.recordPeerRetention(now, m.GetRetained(), m.GetEra(), host.Control)
 	l.config.recordPeerGeneration(now, m.GetGeneration(), host.Control)
 	if m.GetWatching() && !m.GetStoreLost() {
 		sinceOutage := outageRetention
--- a/internal/controller/registration.go
+++ b/internal/controller/registration.go
@@ -27,14 +27,16 @@
 	var registered []gossiper.RegisteredHost
 	own := l.ownRegistration()
 	upToDate := false
-	for _, item := range l.caches[l.kinds.Hosts].items {
+	cache := l.caches[l.kinds.Hosts]
+	for _, item := range cache.effective() {
 		var registration hostRegistration
 		if err := json.Unmarshal(item.Content(), &registration); err != nil {
 			klog.ErrorS(err, "invalid host registration ignored", "host", item.Name())
 			continue
 		}
 		if item.Name() == l.controller.settings.Host {
-			upToDate = registration == own
+			_, stored := cache.items[item.Name()]
+			upToDate = stored && registration == own
 			continue
 		}
 		registered = append(registered, gossiper.RegisteredHost{Name: item.Name(), Zone: registration.Zone, Control: registration.Control, Data: registration.Data})
--- a/internal/controller/retention.go
+++ b/internal/controller/retention.go
@@ -11,6 +11,7 @@
 )
 
 const (
+	hostRetention    = time.Hour               // a host that is cut off cannot register again, and has its part of the limits
 	missingRetention = 2300 * time.Millisecond // backend servers and the operator write again within about two seconds
 	staleRetention   = 6 * time.Second         // the store removes a server that left after three missed reports, which takes 4.5 s
 )
@@ -76,16 +77,16 @@
 	return items
 }
 
-// retain keeps what was held before the store was restored where the copy lacks it or
-// is not certainly newer.
-func (c *objectCache) retain(now time.Duration, before heldObjects, newer precedence) {
+// retain keeps what was held before the store was restored: what the copy lacks for
+// the given time, and what it has in a state that is not certainly newer.
+func (c *objectCache) retain(now, missing time.Duration, before heldObjects, newer precedence) {
 	c.retained = map[string]retention{}
 	c.retainedAt = c.position.Revision()
 	for name, item := range before.items {
 		current, ok := c.items[name]
 		switch {
 		case !ok:
-			c.retained[name] = retention{removal: removal{Item: item, last: item}, until: now + missingRetention}
+			c.retained[name] = retention{removal: removal{Item: item, last: item}, until: now + missing}
 		case !bytes.Equal(current.Content(), item.Content()) && !newer(current, item):
 			c.retained[name] = retention{removal: removal{Item: item, last: item}, until: now + staleRetention}
 		}
@@ -171,10 +172,14 @@
 		cache.releaseListed(l.precedence(cache.kind))
 		return
 	}
-	if cache.kind != l.kinds.Servers && cache.kind != l.kinds.Evacuations {
-		return // hosts register again, and the version of the configuration says which is newer
+	switch cache.kind {
+	case l.kinds.Config:
+		return // its version says which is newer
+	case l.kinds.Hosts:
+		cache.retain(now, hostRetention, before, l.precedence(cache.kind))
+	default:
+		cache.retain(now, missingRetention, before, l.precedence(cache.kind))
 	}
-	cache.retain(now, before, l.precedence(cache.kind))
 	if len(cache.retained) > 0 {
 		klog.InfoS("objects retained after store restore", "kind", cache.kind, "objects", len(cache.retained),
 			"era", cache.position.Era(), "revision", cache.position.Revision())
--- a/internal/controller/retentionpeers.go
+++ b/internal/controller/retentionpeers.go
@@ -20,10 +20,16 @@
 }
 
 // recordPeerRetention records that another host retains objects, if this host may lack
-// them: it has listed the store only in the present era.
-func (l *loop) recordPeerRetention(retained uint32, era int64, control string) {
+// them: it has listed the store for the first time lately, in the present era.
+func (l *loop) recordPeerRetention(now time.Duration, retained uint32, era int64, control string) {
 	cache := l.caches[l.kinds.Servers]
-	if retained > 0 && cache.listed && cache.firstEra == era && cache.position.Era() == era {
+	if retained == 0 || !cache.listed || cache.firstEra != era || cache.position.Era() != era {
+		return
+	}
+	if l.firstListAt == 0 {
+		l.firstListAt = now
+	}
+	if now-l.firstListAt < staleRetention {
 		l.retainingPeer = control
 	}
 }
@@ -35,7 +41,7 @@
 		return nil
 	}
 	l.retentionQueryAfter = now + stallTimeout
-	return []*peerv1.Position{{Kind: l.kinds.Servers, Retained: true}, {Kind: l.kinds.Evacuations, Retained: true}}
+	return []*peerv1.Position{{Kind: l.kinds.Servers, Retained: true}, {Kind: l.kinds.Evacuations, Retained: true}, {Kind: l.kinds.Hosts, Retained: true}}
 }
 
 // retainedTable returns the response to a query for what this host retains of a kind.
