controller: let late answers of an era change nothing

Fix: a list before the cache's position is ignored, and so is a change that the cache reflects already; only what the cache applied is applied further. Where the store states no era, as before.

--- a/internal/controller/cache.go
+++ b/internal/controller/cache.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"magnoliahill.example/magnoliahill/internal/storer"
@@ -55,8 +56,11 @@
 }
 
 // replaceAll replaces the cache by a complete list of the kind. A list of an
-// earlier era is ignored.
+// earlier era is ignored, and so is a late one of the same era.
 func (c *objectCache) replaceAll(all storer.ItemList) {
+	if all.Position().Era() != 0 && all.Position().Before(c.position) {
+		return
+	}
 	if !c.listed {
 		c.firstEra = all.Position().Era()
 	}
@@ -86,12 +90,13 @@
 }
 
 // merge merges the objects of another host: all of them, or those that changed
-// since this cache's position. After a merge of all objects, the history of
-// removals starts at that host's historyStart.
-func (c *objectCache) merge(objects storer.ItemList, historyStart int64, changes bool) {
+// since this cache's position, of which it returns those that it applied. After a
+// merge of all objects, the history of removals starts at that host's historyStart.
+func (c *objectCache) merge(objects storer.ItemList, historyStart int64, changes bool) []storer.Item {
+	var applied []storer.Item
 	switch {
 	case changes && c.listed:
-		c.applyChanges(objects)
+		applied = c.applyChanges(objects)
 	case objects.Position().SameEra(c.position) || c.position.Before(objects.Position()):
 		c.replaceAll(objects)
 		c.historyStart = historyStart
@@ -99,15 +104,22 @@
 	if c.position.SameEra(objects.Position()) {
 		c.advance(objects.Revision())
 	}
+	return applied
 }
 
-// applyChanges applies added, changed and removed objects of the cache's era. It
-// ignores those of another era.
-func (c *objectCache) applyChanges(changed storer.ItemList) {
+// applyChanges applies added, changed and removed objects of the cache's era, and
+// returns them. It ignores those of another era, and those that arrive after a later
+// state of the object.
+func (c *objectCache) applyChanges(changed storer.ItemList) []storer.Item {
 	if !c.position.SameEra(changed.Position()) {
-		return
+		return nil
 	}
+	var applied []storer.Item
 	for _, item := range changed.Items() {
+		if changed.Position().Era() != 0 && c.reflects(item) {
+			continue
+		}
+		applied = append(applied, item)
 		c.advance(item.Revision())
 		if !item.Deleted() {
 			c.items[item.Name()] = item
@@ -121,6 +133,17 @@
 		c.historyStart = c.removed[excess-1].Revision()
 		c.removed = c.removed[excess:]
 	}
+	return applied
+}
+
+// reflects reports whether a state of an object, or a later one, is in the cache.
+func (c *objectCache) reflects(item storer.Item) bool {
+	if item.Revision() <= c.historyStart || item.Revision() < c.items[item.Name()].Revision() {
+		return true
+	}
+	return slices.ContainsFunc(c.removed, func(r storer.Item) bool {
+		return r.Name() == item.Name() && r.Revision() > item.Revision()
+	})
 }
 
 // changesSince returns the objects that a host at the given position lacks. The
--- a/internal/controller/cache_test.go
+++ b/internal/controller/cache_test.go
@@ -202,3 +202,15 @@
 	c.retain(time.Second, missingRetention, before, newerByContent)
 	is.Equal(effectiveContents(c), "a2 b1 d1")
 }
+
+func TestLateAnswersOfAnEraChangeNothing(t *testing.T) {
+	is := is.New(t)
+	cache := newObjectCache("k")
+	cache.replaceAll(inEra(1, 7, item("a", 5), item("b", 6)))
+	cache.applyChanges(inEra(1, 9, item("a", 8), storer.NewDeletedItem("b", 9)))
+	is.Equal(len(cache.applyChanges(inEra(1, 8, item("a", 8), item("b", 6)))), 1) // a again, in the same state
+	is.Equal(len(cache.applyChanges(inEra(1, 7, item("a", 7), item("b", 7)))), 0)
+	cache.replaceAll(inEra(1, 7, item("a", 5), item("b", 6)))
+	is.Equal(itemNames(cache), "a")
+	is.Equal(cache.items["a"].Revision(), int64(8))
+}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -250,8 +250,7 @@
 		l.applyUpdate(now, u.Kind, nil)
 		l.announceChanges(now)
 	case u.Changed != nil:
-		cache.applyChanges(*u.Changed)
-		l.applyChanges(now, cache, u.Changed.Items())
+		l.applyChanges(now, cache, cache.applyChanges(*u.Changed))
 		l.announceChanges(now)
 	}
 }
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -232,8 +232,7 @@
 	changes := wire.GetChanges() && cache.listed
 	l.checkRestore(cache, objects.Position())
 	if changes {
-		cache.merge(objects, wire.GetComplete(), true)
-		l.applyChanges(now, cache, objects.Items())
+		l.applyChanges(now, cache, cache.merge(objects, wire.GetComplete(), true))
 		return
 	}
 	l.replaceObjects(now, cache, func() { cache.merge(objects, wire.GetComplete(), false) })
