controller: tell other hosts of a removal that only a list shows

The hosts that do not watch kept the object until the next change of its kind: a server that had left went on getting requests from them. Fix: a list that lacks known objects raises the position to its own, and a kind without objects has the lowest position in place of none. Evidence: TestRemovalThatOnlyAListShowsReachesOtherHosts failed before and passes.

--- a/internal/controller/cache.go
+++ b/internal/controller/cache.go
@@ -7,7 +7,10 @@
 	"magnoliahill.example/magnoliahill/internal/storer"
 )
 
-const maxRemoved = 512 // removals that are kept for other hosts
+const (
+	maxRemoved    = 512 // removals that are kept for other hosts
+	firstRevision = 1   // lowest revision of a store; that of a kind without objects
+)
 
 // objectCache is this host's cache of the objects of one kind.
 type objectCache struct {
@@ -70,6 +73,7 @@
 	}
 	c.listed = true
 	c.items = make(map[string]storer.Item, len(all.Items()))
+	c.advance(firstRevision)
 	for _, item := range all.Items() {
 		if !item.Deleted() {
 			c.items[item.Name()] = item
@@ -79,6 +83,7 @@
 	for name := range known {
 		if _, ok := c.items[name]; !ok && sameEra {
 			c.recordGone(name, known[name], all.Revision())
+			c.advance(all.Revision()) // makes other hosts fetch the removal, which no event may report
 		}
 	}
 	// A list does not contain earlier removals, but it reflects them.
--- a/internal/controller/cache_test.go
+++ b/internal/controller/cache_test.go
@@ -203,6 +203,18 @@
 	is.Equal(effectiveContents(c), "a2 b1 d1")
 }
 
+func TestRemovalThatOnlyAListShowsReachesOtherHosts(t *testing.T) {
+	is := is.New(t)
+	source, target := newObjectCache("k"), newObjectCache("k")
+	source.replaceAll(inEra(1, 7, item("a", 5), item("b", 6)))
+	syncCaches(source, target)
+	source.replaceAll(inEra(1, 9, item("b", 6))) // the event of the removal was lost with the history
+	target.recordPeerPosition(0, source.position, "other")
+	is.True(target.peerAhead())
+	syncCaches(source, target)
+	is.Equal(itemNames(target), "b")
+}
+
 func TestLateAnswersOfAnEraChangeNothing(t *testing.T) {
 	is := is.New(t)
 	cache := newObjectCache("k")
