controller: fetch all objects again when this host stops watching

A removal after its own last list and before the first list of the other was reported by nobody, and the object stayed until the next change of its kind. Fix: the caches count as incomplete until all objects were fetched once from a host that has listed them no earlier. It covers two hosts and one object; counted limits are not in it, as hosts share them without the store.

--- a/internal/controller/cache.go
+++ b/internal/controller/cache.go
@@ -21,6 +21,8 @@
 	position     storer.Position      // of the latest change; reported to other hosts; never decreases
 	listed       bool                 // all objects were received once, from the store or another host
 	unreachable  bool                 // this host's watch cannot reach the store
+	incomplete   bool                 // the last changes before this host stopped watching may be missing
+	resyncAt     time.Duration        // when all objects are fetched again from another host if the cache is still incomplete
 	retained     map[string]retention // what applies of an earlier era, by name
 	gone         []removal            // latest objects that were removed in any era, the last one last
 	firstEra     int64                // era of the first list; 0 if it was not known
@@ -72,6 +74,7 @@
 		return
 	}
 	c.listed = true
+	c.incomplete = false
 	c.items = make(map[string]storer.Item, len(all.Items()))
 	c.advance(firstRevision)
 	for _, item := range all.Items() {
@@ -94,6 +97,30 @@
 	c.historyStart = max(all.Revision(), c.position.Revision())
 }
 
+// resync makes this host fetch all objects of the kind from another host. It is called
+// when this host stops watching: the last changes may not have arrived, and hosts that
+// listed the kind after a removal do not report it.
+func (c *objectCache) resync() { c.incomplete = true }
+
+// missing returns the position after which this host lacks objects.
+func (c *objectCache) missing() storer.Position {
+	if c.incomplete {
+		return storer.NewPosition(c.position.Era(), 0)
+	}
+	return c.appliedPosition()
+}
+
+// accepts reports whether objects of another host, which has all changes up to a
+// position, are to be merged.
+func (c *objectCache) accepts(objects storer.ItemList, historyStart int64, changes bool) bool {
+	position := objects.Position()
+	if c.incomplete && !changes {
+		position = storer.NewPosition(position.Era(), max(position.Revision(), historyStart))
+		return !position.Before(c.appliedPosition())
+	}
+	return c.appliedPosition().Before(position)
+}
+
 // merge merges the objects of another host: all of them, or those that changed
 // since this cache's position, of which it returns those that it applied. After a
 // merge of all objects, the history of removals starts at that host's historyStart.
@@ -103,6 +130,9 @@
 	case changes && c.listed:
 		applied = c.applyChanges(objects)
 	case objects.Position().SameEra(c.position) || c.position.Before(objects.Position()):
+		if c.incomplete {
+			c.position = storer.NewPosition(c.position.Era(), 0)
+		}
 		c.replaceAll(objects)
 		c.historyStart = historyStart
 	}
@@ -182,6 +212,9 @@
 // recordPeerPosition records the position that another host reported, with its
 // control address. Positions that this cache has reached are ignored.
 func (c *objectCache) recordPeerPosition(now time.Duration, p storer.Position, control string) {
+	if c.incomplete && c.peerAddress == "" {
+		c.peerAddress = control
+	}
 	if !c.appliedPosition().Before(p) {
 		return
 	}
--- a/internal/controller/cache_test.go
+++ b/internal/controller/cache_test.go
@@ -215,6 +215,33 @@
 	is.Equal(itemNames(target), "b")
 }
 
+// The removal came after this host's last list and before the first one of the host
+// that watches now.
+func TestHostThatStopsWatchingLearnsOfTheLastRemoval(t *testing.T) {
+	is := is.New(t)
+	watcher, stopped := newObjectCache("k"), newObjectCache("k")
+	stopped.replaceAll(inEra(1, 7, item("a", 5), item("b", 6)))
+	watcher.replaceAll(inEra(1, 8, item("a", 5)))
+	stopped.resync()
+	stopped.recordPeerPosition(0, watcher.position, "watcher")
+	is.Equal(stopped.peerAddress, "watcher")
+	objects, changes := watcher.changesSince(stopped.missing())
+	is.True(stopped.accepts(objects, watcher.historyStart, changes))
+	stopped.merge(objects, watcher.historyStart, changes)
+	is.Equal(itemNames(stopped), "a")
+	is.True(!stopped.incomplete)
+}
+
+func TestHostThatStopsWatchingAcceptsNoEarlierState(t *testing.T) {
+	is := is.New(t)
+	watcher, stopped := newObjectCache("k"), newObjectCache("k")
+	watcher.replaceAll(inEra(1, 6, item("a", 5)))
+	stopped.replaceAll(inEra(1, 8, item("a", 7)))
+	stopped.resync()
+	objects, changes := watcher.changesSince(stopped.missing())
+	is.True(!stopped.accepts(objects, watcher.historyStart, changes))
+}
+
 func TestLateAnswersOfAnEraChangeNothing(t *testing.T) {
 	is := is.New(t)
 	cache := newObjectCache("k")
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -160,6 +160,7 @@
 		l.stopWatches()
 		for _, cache := range l.caches {
 			cache.unreachable = false
+			cache.resync()
 		}
 	}
 }
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -135,11 +135,14 @@
 func (l *loop) fetchFromPeers(now time.Duration) {
 	positions := map[string][]*peerv1.Position{}
 	for kind, cache := range l.caches {
-		if !cache.peerAhead() {
+		resync := cache.incomplete && cache.peerAddress != "" && now >= cache.resyncAt
+		if resync {
+			cache.resyncAt = now + stallTimeout
+		} else if !cache.peerAhead() {
 			continue
 		}
 		if !l.watching || cache.unreachable || !cache.listed {
-			positions[cache.peerAddress] = append(positions[cache.peerAddress], messenger.EncodePosition(kind, cache.appliedPosition()))
+			positions[cache.peerAddress] = append(positions[cache.peerAddress], messenger.EncodePosition(kind, cache.missing()))
 		} else if cache.stalled(now) {
 			klog.InfoS("watch stalled", "kind", kind, "era", cache.position.Era(), "revision", cache.position.Revision(),
 				"othersEra", cache.peerPosition.Era(), "others", cache.peerPosition.Revision())
@@ -195,7 +198,7 @@
 		klog.InfoS("fetching objects from host failed", "host", m.host, "cause", m.err.Error())
 		for _, cache := range l.caches {
 			if cache.peerAddress == m.host {
-				cache.peerPosition = storer.Position{} // the next gossip message sets it again, maybe from another host
+				cache.peerPosition, cache.peerAddress = storer.Position{}, "" // the next gossip message sets them again, maybe from another host
 			}
 		}
 		if !l.watching && !l.discovering && !l.synced() {
@@ -216,7 +219,7 @@
 			l.applyRetained(now, m.host, cache, wire)
 			continue
 		}
-		if cache == nil || l.watching && !cache.unreachable && cache.listed || !cache.appliedPosition().Before(storer.NewPosition(wire.GetEra(), wire.GetRevision())) {
+		if cache == nil || l.watching && !cache.unreachable && cache.listed || !cache.accepts(messenger.DecodeObjects(wire), wire.GetComplete(), wire.GetChanges()) {
 			continue
 		}
 		l.applyFetched(now, m.host, cache, wire)
