--- a/internal/controller/cache.go
+++ b/internal/controller/cache.go
@@ -110,13 +110,15 @@
 	return c.appliedPosition()
 }
 
-// accepts reports whether objects of another host, which has all changes up to a
-// position, are to be merged.
+// accepts reports whether objects of another host, with its history of removals, are to
+// be merged. An incomplete cache accepts all objects of a host that has every change
+// which this host has: it applied a change that is no earlier than the latest one
+// here, or listed the kind no earlier.
 func (c *objectCache) accepts(objects storer.ItemList, historyStart int64, changes bool) bool {
 	position := objects.Position()
 	if c.incomplete && !changes {
-		position = storer.NewPosition(position.Era(), max(position.Revision(), historyStart))
-		return !position.Before(c.appliedPosition())
+		listedAt := storer.NewPosition(position.Era(), historyStart)
+		return !position.Before(c.position) || !listedAt.Before(c.appliedPosition())
 	}
 	return c.appliedPosition().Before(position)
 }
--- a/internal/controller/cache_test.go
+++ b/internal/controller/cache_test.go
@@ -253,3 +253,15 @@
 	is.Equal(itemNames(cache), "a")
 	is.Equal(cache.items["a"].Revision(), int64(8))
 }
+
+// A kind that does not change must not be fetched again and again.
+func TestHostThatStopsWatchingAcceptsAnEarlierListWithTheSameChanges(t *testing.T) {
+	is := is.New(t)
+	watcher, stopped := newObjectCache("k"), newObjectCache("k")
+	for revision, cache := range map[int64]*objectCache{100: watcher, 101: stopped} {
+		cache.replaceAll(inEra(1, revision, item("a", 5)))
+	}
+	stopped.resync()
+	objects, changes := watcher.changesSince(stopped.missing())
+	is.True(stopped.accepts(objects, watcher.historyStart, changes))
+}
