--- a/pkg/placer/coldlimit.go
+++ b/pkg/placer/coldlimit.go
@@ -19,7 +19,6 @@
 // the same division.
 type coldLimiter struct {
 	factor, slack float64 // limit for all hosts together: rate * factor + slack
-	hosts         []string
 }
 
 // allowance is a host's share of the request rate that a cold server can
@@ -50,16 +49,16 @@
 		return true
 	}
 	if s.allowance == nil {
-		s.allowance = p.coldLimiter.newAllowance(now, p.self, s)
+		s.allowance = p.coldLimiter.newAllowance(now, s, p.self, p.hosts)
 	}
 	return s.allowance.take(now)
 }
 
 // newAllowance returns the share of a host in the limit of a server.
-func (l *coldLimiter) newAllowance(now time.Duration, self string, s *server) *allowance {
+func (l *coldLimiter) newAllowance(now time.Duration, s *server, self string, hosts []string) *allowance {
 	limit := coldRateShare * (s.coldRate*l.factor + l.slack)
-	senders := max(1, min(maxColdSenders, len(l.hosts), int(limit/2)))
-	if senderRank(s.ID(), self, l.hosts) >= senders {
+	senders := max(1, min(maxColdSenders, len(hosts), int(limit/2)))
+	if senderRank(s.ID(), self, hosts) >= senders {
 		return &allowance{}
 	}
 	// Within one second a bucket admits its capacity plus its rate.
--- a/pkg/placer/limit.go
+++ b/pkg/placer/limit.go
@@ -109,7 +109,7 @@
 // this host, and false if it allows none.
 func (p *Placer) limitWait(now time.Duration, s *server) (time.Duration, bool) {
 	if s.limit.active(now) && s.limit.rank < 0 {
-		s.limit.rank = senderRank(s.ID(), p.self, p.coldLimiter.hosts)
+		s.limit.rank = senderRank(s.ID(), p.self, p.hosts)
 	}
 	return s.limit.wait(now)
 }
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -67,6 +67,7 @@
 type Placer struct {
 	mu          sync.Mutex
 	self        string
+	hosts       []string // all that may send requests, reachable or not
 	location    Location
 	regions     map[string]string // region of each availability zone
 	services    []Service
@@ -118,7 +119,7 @@
 func (p *Placer) SetHosts(names []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.coldLimiter.hosts = names
+	p.hosts = names
 	for _, s := range p.servers {
 		s.allowance = nil
 		s.limit.rank = -1
