placer: cap the request limits that backend servers may name

Fix: limits above a million a second count as a million. Evidence: TestHugeLimitLimitsNothing panicked before and passes.

--- a/pkg/placer/limit.go
+++ b/pkg/placer/limit.go
@@ -9,6 +9,7 @@
 const (
 	limitShare            = 0.9              // share of a server's limit that is handed out to the hosts; the rest covers hosts whose views of the fleet differ
 	minLimitRate          = 0.2              // requests per second to a server with a lower limit, to learn when the limit ends
+	maxLimit              = 1e6              // requests per second; far above what a server takes, and safe to count in token units
 	minLimitSenders       = 2                // hosts that send to a server with a limit
 	maxLimitSenders       = 4                // the same, with a high limit
 	limitPerSender        = 2.5              // requests per second of a limit for each sender beyond the fewest
@@ -54,6 +55,7 @@
 	if !limited {
 		perSecond = 0
 	}
+	perSecond = min(perSecond, maxLimit)
 	if perSecond != l.perSecond || limited != l.limited {
 		l.resize(at, perSecond)
 	}
--- a/pkg/placer/limits_test.go
+++ b/pkg/placer/limits_test.go
@@ -265,3 +265,16 @@
 		t.Error("no other host sent a request after 10 s without an answer")
 	}
 }
+
+func TestHugeLimitLimitsNothing(t *testing.T) {
+	p := placer.New("h", placer.Location{Zone: "a1", Region: "a"}, regions)
+	p.SetHosts([]string{"h"})
+	update(p, 0, 0, nil, instance("s", "a1"))
+	for now := time.Duration(0); now < time.Minute; now += 3 * time.Second {
+		pick, verdict, _ := p.Choose(now, query(""))
+		if verdict != placer.Chosen {
+			t.Fatalf("no server is chosen at %v", now)
+		}
+		p.Done(now, pick, placer.Answered, placer.Load{Limit: placer.RequestLimit{Known: true, Limited: true, PerSecond: 1e300}})
+	}
+}
