--- a/internal/controller/exploration_test.go
+++ b/internal/controller/exploration_test.go
@@ -317,11 +317,11 @@
 	seen := map[string]bool{}
 	var explore func(w world, path []string) bool
 	explore = func(w world, path []string) bool {
-		if key := w.key() + strconv.Itoa(len(path)); seen[key] {
+		key := w.key() + strconv.Itoa(len(path))
+		if seen[key] {
 			return true
-		} else {
-			seen[key] = true
 		}
+		seen[key] = true
 		settled := w.clone()
 		if wrong := settled.settle(); wrong != "" {
 			t.Errorf("%s; after %s", wrong, strings.Join(path, ", "))
