placer: let only answers to later requests end a limit

Fix: silence counts only in the answer to a request that was sent after the limit was known. Evidence: TestLateAnswerDoesNotEndALimit failed before and passes; the tests of limits pass, among them TestRequestsReturnToAServerWhoseLimitHasEnded.

--- a/pkg/placer/limits_test.go
+++ b/pkg/placer/limits_test.go
@@ -278,3 +278,25 @@
 		p.Done(now, pick, placer.Answered, placer.Load{Limit: placer.RequestLimit{Known: true, Limited: true, PerSecond: 1e300}})
 	}
 }
+
+// An answer that was on its way when the server named its limit says nothing about it.
+func TestLateAnswerDoesNotEndALimit(t *testing.T) {
+	p := placer.New("h", placer.Location{Zone: "a1", Region: "a"}, regions)
+	p.SetHosts([]string{"h"})
+	update(p, 0, 0, nil, instance("s", "a1"))
+	early, _, _ := p.Choose(0, query(""))
+	first, _, _ := p.Choose(0, query(""))
+	p.Done(100*time.Millisecond, first, placer.Answered, placer.Load{Limit: placer.RequestLimit{Known: true, Limited: true, PerSecond: 2}})
+	p.Done(110*time.Millisecond, early, placer.Answered, placer.Load{Limit: placer.RequestLimit{Known: true}})
+	if !p.Limits(200 * time.Millisecond)["s"].Limited {
+		t.Fatal("the limit ended by an answer to an earlier request")
+	}
+	later, verdict, _ := p.Choose(5*time.Second, query(""))
+	if verdict != placer.Chosen {
+		t.Fatal("no request is sent within the limit")
+	}
+	p.Done(5200*time.Millisecond, later, placer.Answered, placer.Load{Limit: placer.RequestLimit{Known: true}})
+	if p.Limits(6 * time.Second)["s"].Limited {
+		t.Fatal("the limit did not end by an answer to a later request")
+	}
+}
--- a/pkg/placer/server.go
+++ b/pkg/placer/server.go
@@ -121,7 +121,9 @@
 		s.reportedAt = now
 		s.ownAtReport = s.running
 	}
-	if load.Limit.Known {
+	// An answer without a limit ends it only if the request was sent after the limit
+	// was known: the answer to an earlier one may have been on its way.
+	if load.Limit.Known && (load.Limit.Limited || pick.began >= s.limit.observedAt) {
 		s.limit.observe(now, load.Limit.Limited, load.Limit.PerSecond)
 	}
 	switch outcome {
