--- a/internal/controller/exploration_test.go
+++ b/internal/controller/exploration_test.go
@@ -116,7 +116,7 @@
 	return fmt.Sprint(item.Name(), item.Revision(), string(item.Content()), item.Deleted(), ",")
 }
 
-// step is one step that may happen in a state.
+// explorationStep is one step that may happen in a state.
 type explorationStep struct {
 	name string
 	do   func(w *world)
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -183,7 +183,7 @@
 		}
 	}
 	if s.State() == registrar.Draining && r.State() == registrar.Ready {
-		s.leaving = false // it changed its mind
+		s.leaving = false // it does not leave after all
 	}
 	s.Registered = r
 	s.coldRate = service.ColdRate
@@ -191,7 +191,8 @@
 }
 
 // rebuildPools builds a pool for each service from its ready servers outside
-// evacuated zones, without those that leave. Each pool inherits from the previous pool of the service.
+// evacuated zones, without those that leave. Each pool inherits from the previous
+// pool of the service.
 func (p *Placer) rebuildPools(services []Service) {
 	pools := make(map[string]*pool, len(services))
 	for _, service := range services {
