controller: retain evacuations for six seconds after a store restore

An evacuation that the store had lost was retained for the time in which servers register again, 2.3 s. Nothing says that an operator writes that soon; the zone was used until then. Fix: evacuations are retained as long as what the copy has too old. If the operator took the evacuation back meanwhile, the zone stays unused for that time.

--- a/internal/controller/retention.go
+++ b/internal/controller/retention.go
@@ -12,8 +12,8 @@
 
 const (
 	hostRetention    = time.Hour               // a host that is cut off cannot register again, and has its part of the limits
-	missingRetention = 2300 * time.Millisecond // backend servers and the operator write again within about two seconds
-	staleRetention   = 6 * time.Second         // the store removes a server that left after three missed reports, which takes 4.5 s
+	missingRetention = 2300 * time.Millisecond // backend servers register again within about two seconds
+	staleRetention   = 6 * time.Second         // by then operators have written evacuations again, and the store has removed servers that left, after 4.5 s
 )
 
 // removal is an object that was removed, with its last known state.
@@ -177,6 +177,8 @@
 		return // its version says which is newer
 	case l.kinds.Hosts:
 		cache.retain(now, hostRetention, before, l.precedence(cache.kind))
+	case l.kinds.Evacuations:
+		cache.retain(now, staleRetention, before, l.precedence(cache.kind))
 	default:
 		cache.retain(now, missingRetention, before, l.precedence(cache.kind))
 	}
