--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -219,17 +219,19 @@
 			l.applyRetained(now, m.host, cache, wire)
 			continue
 		}
-		if cache == nil || l.watching && !cache.unreachable && cache.listed || !cache.accepts(messenger.DecodeObjects(wire), wire.GetComplete(), wire.GetChanges()) {
+		if cache == nil || l.watching && !cache.unreachable && cache.listed {
 			continue
 		}
-		l.applyFetched(now, m.host, cache, wire)
+		objects := messenger.DecodeObjects(wire)
+		if cache.accepts(objects, wire.GetComplete(), wire.GetChanges()) {
+			l.applyFetched(now, m.host, cache, objects, wire)
+		}
 	}
 	l.fetchFromPeers(now)
 }
 
-// applyFetched merges the objects of one kind that another host returned.
-func (l *loop) applyFetched(now time.Duration, host string, cache *objectCache, wire *peerv1.ObjectTable) {
-	objects := messenger.DecodeObjects(wire)
+// applyFetched merges the objects of one kind that another host returned in a table.
+func (l *loop) applyFetched(now time.Duration, host string, cache *objectCache, objects storer.ItemList, wire *peerv1.ObjectTable) {
 	klog.InfoS("objects fetched from host", "kind", cache.kind, "host", host, "from", cache.position.Revision(),
 		"era", objects.Position().Era(), "revision", objects.Revision(), "objects", len(objects.Items()), "changes", wire.GetChanges())
 	changes := wire.GetChanges() && cache.listed
--- a/internal/controller/retention.go
+++ b/internal/controller/retention.go
@@ -172,16 +172,16 @@
 		cache.releaseListed(l.precedence(cache.kind))
 		return
 	}
+	missing := missingRetention
 	switch cache.kind {
 	case l.kinds.Config:
 		return // its version says which is newer
 	case l.kinds.Hosts:
-		cache.retain(now, hostRetention, before, l.precedence(cache.kind))
+		missing = hostRetention
 	case l.kinds.Evacuations:
-		cache.retain(now, staleRetention, before, l.precedence(cache.kind))
-	default:
-		cache.retain(now, missingRetention, before, l.precedence(cache.kind))
+		missing = staleRetention
 	}
+	cache.retain(now, missing, before, l.precedence(cache.kind))
 	if len(cache.retained) > 0 {
 		klog.InfoS("objects retained after store restore", "kind", cache.kind, "objects", len(cache.retained),
 			"era", cache.position.Era(), "revision", cache.position.Revision())
--- a/pkg/placer/limits_test.go
+++ b/pkg/placer/limits_test.go
@@ -3,13 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
-	"go.yaml.in/yaml/v3"
-
 	"magnoliahill.example/magnoliahill/pkg/placer"
 	"magnoliahill.example/magnoliahill/pkg/registrar"
 )
@@ -182,14 +179,8 @@
 }
 
 func readLimitCases(t *testing.T) []limitCase {
-	data, err := os.ReadFile("testdata/limits.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var cases []limitCase
-	if err := yaml.Unmarshal(data, &cases); err != nil {
-		t.Fatal(err)
-	}
+	readCases(t, "limits.yaml", &cases)
 	return cases
 }
 
--- a/pkg/placer/loads_test.go
+++ b/pkg/placer/loads_test.go
@@ -312,17 +312,22 @@
 	}
 }
 
-// TestWorkloads simulates each workload and checks the shares of answers that
-// are on time, late and lost.
-func TestWorkloads(t *testing.T) {
-	data, err := os.ReadFile("testdata/loads.yaml")
+// readCases reads the cases of a test from a data file.
+func readCases(t *testing.T, file string, cases any) {
+	data, err := os.ReadFile("testdata/" + file)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var workloads []workload
-	if err := yaml.Unmarshal(data, &workloads); err != nil {
+	if err := yaml.Unmarshal(data, cases); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// TestWorkloads simulates each workload and checks the shares of answers that
+// are on time, late and lost.
+func TestWorkloads(t *testing.T) {
+	var workloads []workload
+	readCases(t, "loads.yaml", &workloads)
 	for _, l := range workloads {
 		t.Run(l.Name, func(t *testing.T) {
 			is := is.New(t)
