dispatcher: log crashes of backend servers and the requests in flight there

A broken connection is now followed by a check: the server has crashed if it refuses connections while another one accepts them, which a host that is cut off does not see. The digest of a request (caller, path and body) is logged beside its attempts.

No decision depends on either yet.

--- a/internal/controller/leaving.go
+++ b/internal/controller/leaving.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 
 	"k8s.io/klog/v2"
 
@@ -12,10 +11,9 @@
 
 const maxLeavingReports = 128 // in one gossip message, 4 bytes each
 
-// runHash returns the number of a run of a backend server in gossip messages. A new run
-// has another one, also under the same id.
+// runHash returns the number of a run of a backend server in gossip messages.
 func runHash(i registrar.Instance) uint32 {
-	return gossiper.NameHash(i.ID() + "/" + i.Address() + "/" + strconv.FormatInt(i.Incarnation(), 10))
+	return gossiper.NameHash(i.Run())
 }
 
 // updateLeaving logs backend servers that said since the last call that they leave, and
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -20,6 +20,7 @@
 	"magnoliahill.example/magnoliahill/pkg/header"
 	"magnoliahill.example/magnoliahill/pkg/limiter"
 	"magnoliahill.example/magnoliahill/pkg/placer"
+	"magnoliahill.example/magnoliahill/pkg/quarantiner"
 )
 
 const (
@@ -41,25 +42,27 @@
 
 // call holds the state of one request while the host serves it.
 type call struct {
-	dispatcher   *Dispatcher
-	w            http.ResponseWriter
-	r            *http.Request
-	startedAt    time.Duration // when the request arrived, on the host's clock
-	snapshot     *Snapshot
-	id           string
-	route        *cataloger.Route
-	workspace    *cataloger.Workspace // nil on open routes
-	service      string
-	object       string        // from the cookie; "" if there is none
-	deadline     time.Duration // latest time for the response, on the host's clock
-	body         *forwarder.Body
-	budget       *limiter.RetryBudget
-	triedIDs     []string // instance IDs of the backend servers chosen so far, in order
-	sentAttempts int      // attempts that may have reached a backend server
-	lastPick     placer.Pick
-	attemptLog   string // results of the attempts, for the request's log line
-	mayHaveRun   bool   // an attempt ended without proof that the request was not executed
-	bodyBytes    int64  // reserved for the body
+	dispatcher    *Dispatcher
+	w             http.ResponseWriter
+	r             *http.Request
+	startedAt     time.Duration // when the request arrived, on the host's clock
+	snapshot      *Snapshot
+	id            string
+	route         *cataloger.Route
+	workspace     *cataloger.Workspace // nil on open routes
+	service       string
+	object        string        // from the cookie; "" if there is none
+	deadline      time.Duration // latest time for the response, on the host's clock
+	body          *forwarder.Body
+	budget        *limiter.RetryBudget
+	triedIDs      []string // instance IDs of the backend servers chosen so far, in order
+	sentAttempts  int      // attempts that may have reached a backend server
+	lastPick      placer.Pick
+	attemptLog    string // results of the attempts, for the request's log line
+	mayHaveRun    bool   // an attempt ended without proof that the request was not executed
+	bodyBytes     int64  // reserved for the body
+	digested      bool   // requestDigest is known
+	requestDigest quarantiner.Digest
 }
 
 // serve responds to the request with the response of a backend server or a
@@ -221,6 +224,9 @@
 	c.logPause(pick, load)
 	c.dispatcher.placer.Done(c.dispatcher.clock.Now(), pick, outcome, load)
 	c.recordAttempt(pick, resp, err)
+	if errors.Is(err, roundtripper.ErrBadResponse) && ctx.Err() == nil {
+		go c.dispatcher.attributeCrash(pick, c.id, c.route.Name(), c.digest())
+	}
 	if outcome == placer.Answered {
 		c.sentAttempts++
 		return resp, nil, false
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -87,11 +87,15 @@
 type Placer interface {
 	Choose(now time.Duration, q placer.Query) (placer.Pick, placer.Verdict, time.Duration)
 	Done(now time.Duration, pick placer.Pick, outcome placer.Outcome, load placer.Load)
+	Responsive(except string, n int) []placer.Endpoint
+	Leaves(pick placer.Pick) bool
 }
 
-// RoundTripper sends a request to a backend server once.
+// RoundTripper sends a request to a backend server once, or checks whether a backend
+// server accepts connections.
 type RoundTripper interface {
 	RoundTrip(ctx context.Context, target roundtripper.Target, req *roundtripper.Request) (*roundtripper.Response, error)
+	Check(ctx context.Context, target roundtripper.Target) error
 }
 
 // Retries limits the number of retries of a service's requests.
@@ -117,6 +121,7 @@
 	budgets      map[string]*limiter.RetryBudget // by service
 	splitter     *splitter
 	bodies       bodyBudget
+	crashes      *crashDetector
 }
 
 // Option sets one property of a dispatcher.
@@ -140,6 +145,7 @@
 		latency: rec.Latency(), scope: rec.Scope(),
 		budgets:  map[string]*limiter.RetryBudget{},
 		splitter: newSplitter(),
+		crashes:  newCrashDetector(clock, placer, roundTripper),
 	}
 	for _, option := range options {
 		option(c)
--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -9,7 +9,10 @@
 // another attempt.
 const MaxBuffered = 64 << 10
 
-const readAheadSize = 4 << 10 // bytes per read
+const (
+	readAheadSize = 4 << 10                     // bytes per read
+	prefixSize    = MaxBuffered - readAheadSize // bytes that Prefetch reads of every longer body
+)
 
 // Body is a request body that can be sent again until more bytes have been read
 // from it than its buffer holds. It is safe for concurrent use.
@@ -77,6 +80,17 @@
 	return b.buffered
 }
 
+// Prefix returns the beginning of the body after Prefetch, and whether it is the whole
+// body. It does not depend on how the body arrived.
+func (b *Body) Prefix() ([]byte, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.buffered) > prefixSize {
+		return b.buffered[:prefixSize], false
+	}
+	return b.buffered, true
+}
+
 // Open returns a reader of the body from its start, for one attempt. The reader
 // of the previous attempt must no longer be in use.
 func (b *Body) Open() io.ReadCloser { return &bodyReader{body: b} }
--- a/internal/roundtripper/pool.go
+++ b/internal/roundtripper/pool.go
@@ -36,15 +36,16 @@
 type dialCause int
 
 const (
-	noneIdle   dialCause = iota // no connection to the backend server is idle
-	idleTooOld                  // the idle connections are too old for the request
-	idleBroken                  // the idle connections were closed or have stray bytes
-	dialCauses                  // number of causes
+	noneIdle     dialCause = iota // no connection to the backend server is idle
+	idleTooOld                    // the idle connections are too old for the request
+	idleBroken                    // the idle connections were closed or have stray bytes
+	reachability                  // to learn whether the backend server can be reached
+	dialCauses                    // number of causes
 )
 
 // String returns the cause as it appears in metrics.
 func (c dialCause) String() string {
-	return [...]string{"none-idle", "idle-too-old", "idle-broken"}[c]
+	return [...]string{"none-idle", "idle-too-old", "idle-broken", "reachability"}[c]
 }
 
 func newPool(maxIdle int) *pool {
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,8 @@
 var (
 	// ErrUnreachable means that no connection could be opened.
 	ErrUnreachable = errors.New("backend server is unreachable")
+	// ErrRefused means that no process listens at the address. Only Check returns it.
+	ErrRefused = errors.New("connection to backend server is refused")
 	// ErrMisdirected means that the address now belongs to another backend
 	// server.
 	ErrMisdirected = errors.New("address belongs to another backend server")
@@ -140,6 +143,22 @@
 	return resp, err
 }
 
+// Check reports whether a connection to a backend server can be opened. It returns
+// ErrRefused if no process listens there, and ErrUnreachable if there is no answer. The
+// connection is kept for a later request.
+func (t *RoundTripper) Check(ctx context.Context, target Target) error {
+	conn, err := t.pool.dial(ctx, target.Address, target.key(), reachability)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.Wrap(ErrRefused, err.Error())
+	}
+	if err != nil {
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
+	conn.maxIdle = defaultMaxIdle
+	t.pool.put(conn, time.Now())
+	return nil
+}
+
 // connect returns a pooled connection, or a new one when none can be reused. The
 // backend server may close an idle connection at the moment a request is sent,
 // so requests that cannot be retried reuse only recently used connections.
--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -23,6 +23,7 @@
 	seq         uint64  // sequence number among the placer's picks
 	id          string
 	address     string
+	runName     string
 	region      string
 	object      objectKey
 	runTimes    *runTimes
@@ -41,6 +42,9 @@
 // Address returns the backend server's host:port.
 func (p Pick) Address() string { return p.address }
 
+// RunName returns the name of the backend server's run.
+func (p Pick) RunName() string { return p.runName }
+
 // Region returns the backend server's region.
 func (p Pick) Region() string { return p.region }
 
@@ -289,7 +293,7 @@
 	c.placer.pickCount++
 	key := objectKey{c.query.Route, c.query.Object}
 	pick := Pick{
-		server: s, seq: c.placer.pickCount, id: s.ID(), address: s.Address(), region: s.region, object: key, runTimes: c.runTimes, knownWarm: s.warm(c.now, key),
+		server: s, seq: c.placer.pickCount, id: s.ID(), address: s.Address(), runName: s.Run(), region: s.region, object: key, runTimes: c.runTimes, knownWarm: s.warm(c.now, key),
 		began: c.now, run: found.run, wait: found.wait, rank: found.rank, load: load,
 		regionBound: c.query.AllowedRegions != nil,
 	}
--- a/pkg/placer/server.go
+++ b/pkg/placer/server.go
@@ -62,6 +62,7 @@
 	allowance       *allowance                  // nil until needed
 	handled         map[objectKey]time.Duration // when the server last handled an object
 	openAttempts    []openAttempt               // one for each of running
+	respondedAt     time.Duration               // when it last responded to this host; 0 if it never did
 	pendingReport   HealthReport                // attempts of this host that it has not reported yet
 }
 
@@ -126,6 +127,9 @@
 	if load.Limit.Known && (load.Limit.Limited || pick.began >= s.limit.observedAt) {
 		s.limit.observe(now, load.Limit.Limited, load.Limit.PerSecond)
 	}
+	if outcome == Answered || outcome == Shed {
+		s.respondedAt = now
+	}
 	switch outcome {
 	case Answered:
 		s.ejections = 0
--- a/pkg/registrar/instance.go
+++ b/pkg/registrar/instance.go
@@ -2,7 +2,10 @@
 // registration that is missing from the store counts as removed. It does no I/O.
 package registrar
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // State is the state that a backend server reports in its registration.
 type State int
@@ -83,6 +86,12 @@
 // not known.
 func (i Instance) Incarnation() int64 { return i.incarnation }
 
+// Run returns the name of this run of the backend server. A new run has another one,
+// also under the same id.
+func (i Instance) Run() string {
+	return i.id + "/" + i.address + "/" + strconv.FormatInt(i.incarnation, 10)
+}
+
 // SameIncarnation reports whether two registrations belong to the same run of a
 // backend server.
 func (i Instance) SameIncarnation(other Instance) bool {
