--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -61,9 +61,14 @@
 	headers     header.Names
 	instance    string
 	serviceTime time.Duration
-	listener    net.Listener
+	fatalPath   string        // requests for it crash the target; "" if none do
+	downtime    time.Duration // after a crash
+	onRestart   func(*Responder)
 
 	mu            sync.Mutex
+	listener      net.Listener
+	crashes       []time.Time
+	closed        bool
 	plannedFaults []Fault // of the next responses, in order
 	runs          []Execution
 	extraHeaders  string // of all responses but misdirected ones; each header ends with a line break
@@ -81,6 +86,12 @@
 	return func(t *Responder) { t.serviceTime = d }
 }
 
+// WithFatalPath makes requests for a path crash the target: it refuses connections for
+// the downtime, listens at the same address again, and calls onRestart.
+func WithFatalPath(path string, downtime time.Duration, onRestart func(*Responder)) Option {
+	return func(t *Responder) { t.fatalPath, t.downtime, t.onRestart = path, downtime, onRestart }
+}
+
 var listeners atomic.Uint32 // number of listeners opened by this process
 
 // Listen listens at a free port of the next loopback address. Each call uses
@@ -101,26 +112,66 @@
 	for _, option := range options {
 		option(t)
 	}
-	go t.accept()
+	go t.accept(listener)
 	return t, nil
 }
 
 // Address returns the host:port at which the target listens.
-func (t *Responder) Address() string { return t.listener.Addr().String() }
+func (t *Responder) Address() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.listener.Addr().String()
+}
 
 // Instance returns the target's instance id.
 func (t *Responder) Instance() string { return t.instance }
 
 // Close closes the listener and all connections.
 func (t *Responder) Close() {
-	_ = t.listener.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.closed = true
+	t.closeAll()
+}
+
+// closeAll closes the listener and all connections. The caller holds the lock.
+func (t *Responder) closeAll() {
+	_ = t.listener.Close()
 	for conn := range t.open {
 		_ = conn.Close()
 	}
 }
 
+// Crashes returns the times at which the target crashed.
+func (t *Responder) Crashes() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]time.Time(nil), t.crashes...)
+}
+
+// crash ends the target and starts it again after its downtime.
+func (t *Responder) crash() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.crashes = append(t.crashes, time.Now())
+	t.closeAll()
+	time.AfterFunc(t.downtime, t.restart)
+}
+
+func (t *Responder) restart() {
+	t.mu.Lock()
+	address := t.listener.Addr().String()
+	listener, err := net.Listen("tcp", address)
+	if t.closed || err != nil {
+		t.mu.Unlock()
+		return
+	}
+	t.listener = listener
+	t.mu.Unlock()
+	go t.accept(listener)
+	t.onRestart(t)
+}
+
 // QueueFaults appends faults for the next responses, one for each request.
 func (t *Responder) QueueFaults(faults ...Fault) {
 	t.mu.Lock()
@@ -163,9 +214,9 @@
 	return t.connections
 }
 
-func (t *Responder) accept() {
+func (t *Responder) accept(listener net.Listener) {
 	for {
-		conn, err := t.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -252,6 +303,10 @@
 	t.mu.Lock()
 	t.runs = append(t.runs, Execution{Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: string(body), Header: r.Header})
 	t.mu.Unlock()
+	if t.fatalPath != "" && r.URL.Path == t.fatalPath {
+		t.crash()
+		return false
+	}
 	time.Sleep(t.serviceTime)
 	return t.sendResponse(conn, fault, id, "answer to "+id)
 }
