dispatcher, controller: quarantine requests that crash backend servers

A request in flight at a crash is suspected; a crash is a broken connection to a server that then refuses connections while another one accepts them. A suspected request runs alone on its host, at the server that its digest selects, the same one from all hosts and another one than other suspects get, so that the next crash tells them apart. A response clears it; the third crash without one quarantines it: it is refused at once as not run. Hosts exchange their records by gossip when a hash of them differs, and announce changes at once; quarantines are also objects in the store, so that they reach hosts that are cut off from others and outlive all hosts. A quarantined request gets two trials, claimed in the store by one host each: an innocent one that was in flight at the wrong moments recovers by itself.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -27,6 +27,7 @@
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
 	"magnoliahill.example/magnoliahill/pkg/header"
 	"magnoliahill.example/magnoliahill/pkg/placer"
+	"magnoliahill.example/magnoliahill/pkg/quarantiner"
 	"magnoliahill.example/magnoliahill/pkg/registrar"
 )
 
@@ -39,6 +40,8 @@
 	Create(ctx context.Context, kind, name string, content []byte) error
 	// Replace writes an object if it still has the given revision; 0 means any.
 	Replace(ctx context.Context, kind, name string, content []byte, revision int64) error
+	// Delete removes an object if it still has the given revision; 0 means any.
+	Delete(ctx context.Context, kind, name string, revision int64) error
 	// DecodeConfig reads a configuration; regions holds the region of each zone.
 	DecodeConfig(item storer.Item, regions map[string]string) (*cataloger.Catalog, error)
 	// DecodeServer reads the registration of a backend server.
@@ -63,6 +66,7 @@
 	Servers     string
 	Evacuations string // each object names an availability zone
 	Hosts       string // each object registers an entry host
+	Quarantines string // objects of quarantined requests and of their trials
 }
 
 // Paths holds the URL paths of endpoints that do not serve callers' requests.
@@ -80,6 +84,7 @@
 	placer         *placer.Placer
 	allocator      *allocator.Allocator
 	charger        *charger.Charger
+	quarantine     *quarantiner.Quarantiner
 	roundTripper   *roundtripper.RoundTripper
 	dispatcher     *dispatcher.Dispatcher
 	messenger      *messenger.Messenger
@@ -123,10 +128,12 @@
 		settings.Regions, placer.WithColdLimit(settings.ColdRateFactor, settings.ColdRateSlack), placer.WithShiftCap(settings.MaxRegionShift))
 	c.allocator = allocator.New(settings.ExpectedHosts, settings.RateOverage*usedOverageShare)
 	c.charger = charger.New(settings.Host, c.allocator, c.messenger)
+	c.quarantine = quarantiner.New(func() { c.loop.notifySuspects() })
 	headers := platform.HeaderNames()
 	c.roundTripper = roundtripper.New(headers, settings.MaxDescriptors/idleDescriptorDivisor)
 	c.dispatcher = dispatcher.New(headers, platform, c.clock, c.charger, c.placer, c.roundTripper, c.recorder,
 		dispatcher.WithRetries(retryShare(settings, settings.ExpectedHosts)),
+		dispatcher.WithQuarantine(c.quarantine, c),
 		dispatcher.WithBodyMemory(int64(settings.MemoryMB)<<20/bodyMemoryDivisor))
 	c.pendingConns = newPendingConns()
 	c.requestCtx, c.cancelRequests = context.WithCancel(context.Background())
--- a/internal/controller/discovery_test.go
+++ b/internal/controller/discovery_test.go
@@ -22,7 +22,7 @@
 type idlePlatform struct{ Platform }
 
 func (idlePlatform) Kinds() Kinds {
-	return Kinds{Config: "config", Servers: "servers", Evacuations: "evacuations", Hosts: "hosts"}
+	return Kinds{Config: "config", Servers: "servers", Evacuations: "evacuations", Hosts: "hosts", Quarantines: "quarantines"}
 }
 
 func (idlePlatform) HeaderNames() header.Names { return header.Names{} }
--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -78,6 +78,7 @@
 			messages[class] = l.gossipMessage(now, recipient, load)
 		}
 		messages[class].Digests = messenger.EncodeDigests(l.gossiper.DigestsFor(now, recipient))
+		l.addSuspects(now, messages[class], recipient)
 		messages[class].Evidence = messenger.EncodeHealthReports(l.gossiper.HealthReportsFor(recipient))
 		l.controller.sendDatagram(recipient.Control, messages[class])
 	}
@@ -104,12 +105,12 @@
 	}
 }
 
-// announcement returns a message that tells a host of this zone which revisions
-// this host has, without load and heartbeats that the next round sends anyway.
+// announcement returns a message that tells a host which revisions this host has, without load and heartbeats that the next round sends anyway.
 func (l *loop) announcement(now time.Duration, recipient gossiper.Recipient) *peerv1.Greeting {
 	m := l.storeState(now)
 	l.addHeartbeats(now, m, recipient, []tracker.Heartbeat{l.tracker.NextHeartbeat()})
 	m.Digests = messenger.EncodeDigests(l.gossiper.DigestsFor(now, recipient))
+	l.addSuspects(now, m, recipient)
 	return m
 }
 
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -14,6 +14,7 @@
 	"magnoliahill.example/magnoliahill/internal/storer"
 	"magnoliahill.example/magnoliahill/pkg/allocator"
 	"magnoliahill.example/magnoliahill/pkg/gossiper"
+	"magnoliahill.example/magnoliahill/pkg/quarantiner"
 	"magnoliahill.example/magnoliahill/pkg/registrar"
 	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
@@ -68,11 +69,16 @@
 	sliceSize           int                  // recipients that get their messages at once
 	sliceInterval       time.Duration        // between slices of a gossip round
 	sweptAt             time.Duration
-	fetching            bool          // objects are being fetched from another host
-	retainingPeer       string        // control address of a host that retains objects which this host may lack; empty if there is none
-	firstListAt         time.Duration // when this host, having listed the store lately, first heard of retained objects; 0 if never
-	retentionQueryAfter time.Duration // time before which retained objects are not queried again
-	registrationSent    bool          // this host's registration was written or is being written, and has not been seen since
+	fetching            bool                        // objects are being fetched from another host
+	retainingPeer       string                      // control address of a host that retains objects which this host may lack; empty if there is none
+	firstListAt         time.Duration               // when this host, having listed the store lately, first heard of retained objects; 0 if never
+	retentionQueryAfter time.Duration               // time before which retained objects are not queried again
+	peerSuspects        map[string]uint64           // hash of each host's records of suspected requests, by host name; hosts without records are left out
+	suspectsAnnouncedAt time.Duration               // 0 if never
+	announcementDue     bool                        // an announcement of suspected requests is delayed
+	storedQuarantines   map[quarantiner.Digest]bool // quarantined requests that the store had at the last update
+	storeCorrectedAt    time.Duration               // when the stored quarantines were last compared with those of this host
+	registrationSent    bool                        // this host's registration was written or is being written, and has not been seen since
 }
 
 // message is an input of the loop, which calls apply with the current time.
@@ -96,16 +102,19 @@
 		kinds:       kinds,
 		caches:      map[string]*objectCache{},
 		hostCount:   c.settings.ExpectedHosts,
+
+		peerSuspects: map[string]uint64{},
 	}
 	l.gossiper = gossiper.New(c.settings.Host, c.settings.Zone, l.tracker, c.settings.Seeds,
 		gossiper.WithRegions(c.settings.Regions))
-	l.kindOrder = []string{kinds.Config, kinds.Servers, kinds.Evacuations, kinds.Hosts}
+	l.kindOrder = []string{kinds.Config, kinds.Servers, kinds.Evacuations, kinds.Hosts, kinds.Quarantines}
 	for _, kind := range l.kindOrder {
 		l.caches[kind] = newObjectCache(kind)
 		l.followers[kind] = follower.New(c.platform, kind, l.enqueueUpdate)
 	}
 	follower.Link(slices.Collect(maps.Values(l.followers))...)
 	l.followers[kinds.Hosts].SetWatcherCount(longestWatchHosts)
+	l.followers[kinds.Quarantines].SetWatcherCount(longestWatchHosts)
 	return l
 }
 
@@ -285,6 +294,7 @@
 // tick does the periodic work that is due.
 func (l *loop) tick(now time.Duration) {
 	l.releaseExpired(now)
+	l.handleSuspects(now)
 	if dropped := l.registrar.DropExpired(now); len(dropped) > 0 {
 		klog.InfoS("lapsed backend servers removed", "servers", dropped)
 		l.updatePlacer(now)
@@ -294,6 +304,7 @@
 		l.applyPeerState(now)
 		l.updateLimited(now)
 		l.updateLeaving()
+		l.updateSuspects(now)
 		l.startGossipRound(now)
 	}
 	if now-l.sweptAt >= sweepInterval {
@@ -301,6 +312,10 @@
 		l.controller.roundTripper.CloseExpired(time.Now())
 		l.updateImpaired(now)
 	}
+	if now-l.storeCorrectedAt >= quarantineCorrection {
+		l.storeCorrectedAt = now
+		l.correctStoredQuarantines(now)
+	}
 	l.updateWatchRole(now)
 	l.fetchFromPeers(now)
 }
@@ -312,7 +327,7 @@
 	live := l.tracker.Live(now)
 	reported := l.gossiper.OtherLoad(now)
 	for kind, f := range l.followers {
-		if kind != l.kinds.Hosts { // changes of hosts may arrive late, so they keep the longest watches
+		if kind != l.kinds.Hosts && kind != l.kinds.Quarantines { // hosts learn of these from one another, so they keep the longest watches
 			f.SetWatcherCount(watcherCount(live))
 		}
 	}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -69,6 +69,7 @@
 	l.gossiper.Apply(now, host.ID.Name, host.Zone, messenger.DecodeDigests(m.GetDigests()), messenger.DecodeLoadRecords(m.GetRecords()))
 	l.gossiper.SetStoreUnreachable(host.ID.Name, m.GetBlind())
 	l.applyLeaving(host.ID.Name, m.GetLeaving())
+	l.applySuspects(now, host.ID.Name, m.Greeting)
 	l.applyLimitReports(now, messenger.DecodeLimits(m.GetLimits()))
 	l.applyHealthReports(now, host.Zone, messenger.DecodeHealthReports(m.GetEvidence()))
 	for i, revision := range m.GetPositions() {
--- a/internal/controller/retention.go
+++ b/internal/controller/retention.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	hostRetention    = time.Hour               // a host that is cut off cannot register again, and has its part of the limits
-	missingRetention = 2300 * time.Millisecond // backend servers register again within about two seconds
-	staleRetention   = 6 * time.Second         // by then operators have written evacuations again, and the store has removed servers that left, after 4.5 s
+	hostRetention       = time.Hour               // a host that is cut off cannot register again, and has its part of the limits
+	quarantineRetention = time.Minute             // hosts that watch the store write them again within seconds
+	missingRetention    = 2300 * time.Millisecond // backend servers register again within about two seconds
+	staleRetention      = 6 * time.Second         // by then operators have written evacuations again, and the store has removed servers that left, after 4.5 s
 )
 
 // removal is an object that was removed, with its last known state.
@@ -178,6 +179,8 @@
 		return // its version says which is newer
 	case l.kinds.Hosts:
 		missing = hostRetention
+	case l.kinds.Quarantines:
+		missing = quarantineRetention
 	case l.kinds.Evacuations:
 		missing = staleRetention
 	}
--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -33,6 +33,8 @@
 		l.applyEvacuations(now)
 	case l.kinds.Hosts:
 		l.applyHosts(now)
+	case l.kinds.Quarantines:
+		l.applyQuarantines(now)
 	}
 }
 
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -58,10 +58,12 @@
 	triedIDs      []string // instance IDs of the backend servers chosen so far, in order
 	sentAttempts  int      // attempts that may have reached a backend server
 	lastPick      placer.Pick
-	attemptLog    string // results of the attempts, for the request's log line
-	mayHaveRun    bool   // an attempt ended without proof that the request was not executed
-	bodyBytes     int64  // reserved for the body
-	digested      bool   // requestDigest is known
+	attemptLog    string          // results of the attempts, for the request's log line
+	mayHaveRun    bool            // an attempt ended without proof that the request was not executed
+	bodyBytes     int64           // reserved for the body
+	runsAlone     bool            // the quarantine has to be told when the attempt ends
+	attributed    <-chan struct{} // closed when it is known whether the last attempt ended in a crash; nil if that is not checked
+	digested      bool            // requestDigest is known
 	requestDigest quarantiner.Digest
 }
 
@@ -210,11 +212,15 @@
 	if left < minTimeLeft || ctx.Err() != nil {
 		return nil, c.timedOutOrCanceled(ctx), false
 	}
+	if refusal := c.enterQuarantine(ctx); refusal != nil {
+		return nil, refusal, false
+	}
 	pick, verdict, wait := c.dispatcher.placer.Choose(now, placer.Query{
 		Service: c.service, Route: c.route.Name(), Object: c.affinityObject(), Goal: c.route.LatencyGoal(),
 		TimeLeft: left, AllowedRegions: c.allowedRegions(), Attempted: c.triedIDs,
 	})
 	if verdict != placer.Chosen {
+		c.leaveQuarantine()
 		return nil, c.noServerChosen(verdict, wait), false
 	}
 	c.lastPick = pick
@@ -224,9 +230,7 @@
 	c.logPause(pick, load)
 	c.dispatcher.placer.Done(c.dispatcher.clock.Now(), pick, outcome, load)
 	c.recordAttempt(pick, resp, err)
-	if errors.Is(err, roundtripper.ErrBadResponse) && ctx.Err() == nil {
-		go c.dispatcher.attributeCrash(pick, c.id, c.route.Name(), c.digest())
-	}
+	c.reportToQuarantine(ctx, pick, resp, err)
 	if outcome == placer.Answered {
 		c.sentAttempts++
 		return resp, nil, false
@@ -235,8 +239,13 @@
 }
 
 // affinityObject returns the object whose requests go to the same backend server,
-// or "" if the route is not sticky.
+// or "" if the route is not sticky. Copies of a suspected request go to the same server
+// from all hosts, and different suspects to different ones, so that a crash tells which
+// of them caused it.
 func (c *call) affinityObject() string {
+	if c.runsAlone {
+		return c.digest().String()
+	}
 	if !c.route.StickySessions() {
 		return ""
 	}
@@ -321,6 +330,7 @@
 		if resp != nil && resp.Rest != nil {
 			_ = resp.Rest.Close()
 		}
+		c.awaitAttribution(ctx)
 		return nil, nil, true
 	case resp != nil && !c.impliesNotRun(resp.Status):
 		return resp, nil, false
--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -11,13 +11,12 @@
 	"magnoliahill.example/magnoliahill/internal/roundtripper"
 	"magnoliahill.example/magnoliahill/internal/timekeeper"
 	"magnoliahill.example/magnoliahill/pkg/placer"
-	"magnoliahill.example/magnoliahill/pkg/quarantiner"
 )
 
 const (
 	crashCheckTimeout = 250 * time.Millisecond // of one connection attempt: six round trips between regions
 	crashMemory       = 2 * time.Second        // for which a crash explains other broken connections to the same run
-	maxReachabilities = 3                      // backend servers that are asked whether this host reaches any
+	maxReachable      = 4                      // other backend servers that are tried
 )
 
 // crashDetector tells crashes of backend servers from broken connections. A backend
@@ -111,7 +110,7 @@
 // reachable returns the ID of another backend server that this host can connect to, or
 // "".
 func (d *crashDetector) reachable(except string) string {
-	for _, other := range d.placer.Responsive(except, maxReachabilities) {
+	for _, other := range d.placer.Reachable(d.clock.Now(), except, maxReachable) {
 		if d.connect(roundtripper.Target{Address: other.Address, Instance: other.ID}) == nil {
 			return other.ID
 		}
@@ -124,10 +123,3 @@
 	defer cancel()
 	return d.roundTripper.Check(ctx, target)
 }
-
-// attributeCrash logs a request that was in flight when its backend server crashed.
-func (c *Dispatcher) attributeCrash(pick placer.Pick, id, route string, digest quarantiner.Digest) {
-	if c.crashes.crashed(context.Background(), pick) {
-		klog.InfoS("request in flight at a crash", "id", id, "digest", digest, "route", route, "server", pick.ID())
-	}
-}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"magnoliahill.example/magnoliahill/pkg/header"
 	"magnoliahill.example/magnoliahill/pkg/limiter"
 	"magnoliahill.example/magnoliahill/pkg/placer"
+	"magnoliahill.example/magnoliahill/pkg/quarantiner"
 )
 
 // Phase is a stage in the life of a host, which determines what requests it
@@ -87,7 +88,7 @@
 type Placer interface {
 	Choose(now time.Duration, q placer.Query) (placer.Pick, placer.Verdict, time.Duration)
 	Done(now time.Duration, pick placer.Pick, outcome placer.Outcome, load placer.Load)
-	Responsive(except string, n int) []placer.Endpoint
+	Reachable(now time.Duration, except string, n int) []placer.Endpoint
 	Leaves(pick placer.Pick) bool
 }
 
@@ -98,6 +99,24 @@
 	Check(ctx context.Context, target roundtripper.Target) error
 }
 
+// Quarantine keeps requests that crash backend servers away from them.
+type Quarantine interface {
+	Empty() bool // there is nothing to enter or to clear
+	Enter(ctx context.Context, d quarantiner.Digest) quarantiner.Verdict
+	Leave(d quarantiner.Digest)
+	Crashed(now time.Duration, d quarantiner.Digest, run, route string)
+	Answered(now time.Duration, d quarantiner.Digest)
+	Claim(now time.Duration, d quarantiner.Digest) (quarantiner.Trial, bool)
+	EndClaim(trial quarantiner.Trial, granted bool) quarantiner.Verdict
+	RetryAfter(now time.Duration, d quarantiner.Digest) time.Duration
+}
+
+// TrialClaimer claims a trial of a quarantined request for this host alone. It returns
+// false if another host has it, or if the outcome is not known.
+type TrialClaimer interface {
+	ClaimTrial(ctx context.Context, trial quarantiner.Trial) bool
+}
+
 // Retries limits the number of retries of a service's requests.
 type Retries struct {
 	Ratio float64 // retries per first attempt
@@ -122,6 +141,8 @@
 	splitter     *splitter
 	bodies       bodyBudget
 	crashes      *crashDetector
+	quarantine   Quarantine
+	trialClaimer TrialClaimer // nil if quarantined requests get no trials
 }
 
 // Option sets one property of a dispatcher.
@@ -138,6 +159,13 @@
 	return func(c *Dispatcher) { c.bodies.limit = bytes }
 }
 
+// WithQuarantine sets the quarantine, which other parts of the host share, and what
+// claims the trials of quarantined requests. Without it the dispatcher has a quarantine
+// of its own and no trials.
+func WithQuarantine(q Quarantine, claimer TrialClaimer) Option {
+	return func(c *Dispatcher) { c.quarantine, c.trialClaimer = q, claimer }
+}
+
 // New returns a dispatcher that refuses all requests until a snapshot is set.
 func New(headerNames header.Names, codec HeaderCodec, clock *timekeeper.Clock, rateLimiter RateLimiter, placer Placer, roundTripper RoundTripper, rec *recorder.Recorder, options ...Option) *Dispatcher {
 	c := &Dispatcher{
@@ -146,6 +174,8 @@
 		budgets:  map[string]*limiter.RetryBudget{},
 		splitter: newSplitter(),
 		crashes:  newCrashDetector(clock, placer, roundTripper),
+
+		quarantine: quarantiner.New(func() {}),
 	}
 	for _, option := range options {
 		option(c)
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -61,14 +61,11 @@
 	headers     header.Names
 	instance    string
 	serviceTime time.Duration
-	fatalPath   string        // requests for it crash the target; "" if none do
-	downtime    time.Duration // after a crash
-	onRestart   func(*Responder)
 
 	mu            sync.Mutex
 	listener      net.Listener
-	crashes       []time.Time
 	closed        bool
+	crashing      crashing
 	plannedFaults []Fault // of the next responses, in order
 	runs          []Execution
 	extraHeaders  string // of all responses but misdirected ones; each header ends with a line break
@@ -86,12 +83,6 @@
 	return func(t *Responder) { t.serviceTime = d }
 }
 
-// WithFatalPath makes requests for a path crash the target: it refuses connections for
-// the downtime, listens at the same address again, and calls onRestart.
-func WithFatalPath(path string, downtime time.Duration, onRestart func(*Responder)) Option {
-	return func(t *Responder) { t.fatalPath, t.downtime, t.onRestart = path, downtime, onRestart }
-}
-
 var listeners atomic.Uint32 // number of listeners opened by this process
 
 // Listen listens at a free port of the next loopback address. Each call uses
@@ -142,41 +133,18 @@
 	}
 }
 
-// Crashes returns the times at which the target crashed.
-func (t *Responder) Crashes() []time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return append([]time.Time(nil), t.crashes...)
-}
-
-// crash ends the target and starts it again after its downtime.
-func (t *Responder) crash() {
+// QueueFaults appends faults for the next responses, one for each request.
+func (t *Responder) QueueFaults(faults ...Fault) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.crashes = append(t.crashes, time.Now())
-	t.closeAll()
-	time.AfterFunc(t.downtime, t.restart)
-}
-
-func (t *Responder) restart() {
-	t.mu.Lock()
-	address := t.listener.Addr().String()
-	listener, err := net.Listen("tcp", address)
-	if t.closed || err != nil {
-		t.mu.Unlock()
-		return
-	}
-	t.listener = listener
-	t.mu.Unlock()
-	go t.accept(listener)
-	t.onRestart(t)
+	t.plannedFaults = append(t.plannedFaults, faults...)
 }
 
-// QueueFaults appends faults for the next responses, one for each request.
-func (t *Responder) QueueFaults(faults ...Fault) {
+// DropFaults removes the faults that were not used yet.
+func (t *Responder) DropFaults() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.plannedFaults = append(t.plannedFaults, faults...)
+	t.plannedFaults = nil
 }
 
 // Requests returns the number of requests received so far, executed or not.
@@ -303,8 +271,7 @@
 	t.mu.Lock()
 	t.runs = append(t.runs, Execution{Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: string(body), Header: r.Header})
 	t.mu.Unlock()
-	if t.fatalPath != "" && r.URL.Path == t.fatalPath {
-		t.crash()
+	if t.crash(r.URL.Path) {
 		return false
 	}
 	time.Sleep(t.serviceTime)
--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -51,4 +51,5 @@
 	ReasonConnectionBroken    = "connection-broken"
 	ReasonStaleAnswer         = "stale-answer"
 	ReasonShed                = "backend-server-shed"
+	ReasonQuarantined         = "quarantined" // the request crashed backend servers
 )
--- a/pkg/placer/reach.go
+++ b/pkg/placer/reach.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"magnoliahill.example/magnoliahill/pkg/registrar"
 )
@@ -13,20 +14,23 @@
 	Address string // host:port
 }
 
-// Responsive returns up to n backend servers that responded to this host, those that
-// did so last first. The server with the given ID is left out.
-func (p *Placer) Responsive(except string, n int) []Endpoint {
+// Reachable returns up to n backend servers that this host can probably reach, the most
+// probable first: those that are not ejected, by their latest response. The server with
+// the given ID is left out.
+func (p *Placer) Reachable(now time.Duration, except string, n int) []Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var responsive []*server
+	var others []*server
 	for id, s := range p.servers {
-		if id != except && s.respondedAt > 0 {
-			responsive = append(responsive, s)
+		if id != except {
+			others = append(others, s)
 		}
 	}
-	slices.SortFunc(responsive, func(a, b *server) int { return cmp.Compare(b.respondedAt, a.respondedAt) })
+	slices.SortFunc(others, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(max(a.ejectedUntil, now), max(b.ejectedUntil, now)), cmp.Compare(b.respondedAt, a.respondedAt))
+	})
 	endpoints := make([]Endpoint, 0, n)
-	for _, s := range responsive[:min(n, len(responsive))] {
+	for _, s := range others[:min(n, len(others))] {
 		endpoints = append(endpoints, Endpoint{ID: s.ID(), Address: s.Address()})
 	}
 	return endpoints
