commander: list and release quarantined requests

Operators need to see which request the hosts refuse and to end that once the backend servers are repaired. Both commands work on the objects in the store; the hosts follow.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -110,10 +110,11 @@
 // groupDescriptions holds the descriptions of the commands that only group
 // subcommands.
 var groupDescriptions = map[string]string{
-	"key":     "Issue, revoke and list keys",
-	"host":    "Manage entry hosts",
-	"move":    "Start, pause, abort and list planned moves",
-	"standin": "Run stand-ins for external systems",
+	"key":        "Issue, revoke and list keys",
+	"host":       "Manage entry hosts",
+	"quarantine": "List and release quarantined requests",
+	"move":       "Start, pause, abort and list planned moves",
+	"standin":    "Run stand-ins for external systems",
 }
 
 func mustAddCommand(c *flags.Command, err error) *flags.Command {
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -11,6 +11,8 @@
 	"magnoliahill.example/magnoliahill/internal/commander"
 	"magnoliahill.example/magnoliahill/internal/standin/backend"
 	"magnoliahill.example/magnoliahill/internal/standin/platform"
+	adapter "magnoliahill.example/magnoliahill/platform"
+	"magnoliahill.example/magnoliahill/platform/standin"
 )
 
 func TestMain(m *testing.M) {
@@ -33,6 +35,14 @@
 			env.Defer(ps.Close)
 			env.Defer(bs.Close)
 			env.Setenv("MAGNOLIAHILL_PLATFORM", ps.URL)
+			objects := standin.New()
+			objects.Put(adapter.KindQuarantines, "00000000000000a1", map[string]any{"route": "read-grades", "term": 0, "crashes": []int{1, 2, 3}})
+			objects.Put(adapter.KindQuarantines, "00000000000000a1-0-trial-1", map[string]any{"host": "h1"})
+			objects.Put(adapter.KindQuarantines, "00000000000000b2", map[string]any{"route": "order", "term": 4, "crashes": []int{4, 5, 6}})
+			objectServer := httptest.NewServer(objects)
+			env.Defer(objectServer.Close)
+			env.Defer(objects.Close)
+			env.Setenv("STORE", objectServer.Listener.Addr().String())
 			env.Setenv("BACKEND", bs.Listener.Addr().String())
 			for _, name := range []string{"DATA1", "CONTROL1", "DATA2", "CONTROL2"} {
 				env.Setenv(name, freeAddress(t))
