dispatcher: let errors of backend servers clear no suspected request

A server that fails part of its requests may respond with 500 before it runs them. Such a response to a request that crashes servers would have cleared it, and three more servers would have crashed. Found on reading; the test failed before (0 suspected, 1 wanted).

--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -77,7 +77,8 @@
 func (c *call) reportToQuarantine(ctx context.Context, pick placer.Pick, resp *roundtripper.Response, err error) {
 	d := c.dispatcher
 	c.attributed = nil
-	if resp != nil && resp.Header.Get(d.headerNames.ResponseStamp) != "" && !d.quarantine.Empty() {
+	// A failing server may respond with an error before it runs the request.
+	if resp != nil && resp.Status < http.StatusInternalServerError && resp.Header.Get(d.headerNames.ResponseStamp) != "" && !d.quarantine.Empty() {
 		d.quarantine.Answered(d.clock.Now(), c.digest())
 	}
 	if !errors.Is(err, roundtripper.ErrBadResponse) || ctx.Err() != nil {
--- a/internal/dispatcher/quarantine_test.go
+++ b/internal/dispatcher/quarantine_test.go
@@ -127,3 +127,24 @@
 	is.Equal(digestOf(http.MethodPost, "/order/", long), digestOf(http.MethodPost, "/order/", long))
 	is.True(digestOf(http.MethodPost, "/order/", long) != digestOf(http.MethodPost, "/order/", long+"x"))
 }
+
+func TestErrorOfABackendServerDoesNotClearASuspectedRequest(t *testing.T) {
+	is := is.New(t)
+	changed := make(chan struct{}, 16)
+	q := quarantiner.New(func() { changed <- struct{}{} })
+	s := newTestHost(t, 3, dispatcher.WithQuarantine(q, nil))
+	send := func() result { return s.send(http.MethodPost, "/order/", "id", "brooms") }
+	s.crashWith(is, q, changed, func() { send() })
+	for _, backend := range s.backends {
+		backend.QueueFaults(target.ServerError)
+	}
+	is.Equal(send().status, http.StatusInternalServerError)
+	suspected, _ := q.Prune(0)
+	is.Equal(suspected, 1)
+	for _, backend := range s.backends {
+		backend.DropFaults()
+	}
+	is.Equal(send().status, http.StatusOK)
+	suspected, _ = q.Prune(0)
+	is.Equal(suspected, 0)
+}
