--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -27,7 +27,8 @@
 )
 
 // recordAttempt appends the result of an attempt to the attempt log, in the form
-// "instance:result:duration", followed by the error if the result is unknown.
+// "instance:result:duration", followed by the error if the result is unknown or the
+// backend server was not reached.
 func (c *call) recordAttempt(pick placer.Pick, resp *roundtripper.Response, err error) {
 	result := attemptUnknown
 	switch {
@@ -46,7 +47,7 @@
 	}
 	took := c.dispatcher.clock.Now() - pick.StartedAt()
 	c.attemptLog += pick.ID() + ":" + result + ":" + strconv.FormatInt(took.Milliseconds(), 10) + "ms"
-	if err != nil && result == attemptUnknown {
+	if err != nil && (result == attemptUnknown || result == attemptUnreachable) {
 		c.attemptLog += ":" + err.Error()
 	}
 }
