platform: reproduce a host that reaches no backend server

Three hosts; the links of one to all backend servers go silent, are reset, or refuse new connections while open ones live on. The dialer of backend connections can be replaced for this.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -97,7 +97,8 @@
 	requestCtx     context.Context // base context of all requests
 	dataListener   net.Listener    // accepts callers' connections
 	pendingConns   *pendingConns   // callers' connections that may hold a request without a response
-	cancelRequests func()          // cancels requestCtx; running requests get a final response
+	backendOptions []roundtripper.Option
+	cancelRequests func() // cancels requestCtx; running requests get a final response
 	udp            *net.UDPConn
 }
 
@@ -116,6 +117,12 @@
 	return func(c *Controller) { c.reload = reload }
 }
 
+// WithBackendDialer sets what opens connections to backend servers. Without it they are
+// opened by the operating system.
+func WithBackendDialer(d roundtripper.Dialer) Option {
+	return func(c *Controller) { c.backendOptions = append(c.backendOptions, roundtripper.WithDialer(d)) }
+}
+
 // New returns a daemon; Run makes it listen.
 func New(settings *loader.Deployment, platform Platform, options ...Option) *Controller {
 	c := &Controller{settings: settings, platform: platform, clock: timekeeper.New(), messenger: messenger.New()}
@@ -130,7 +137,7 @@
 	c.charger = charger.New(settings.Host, c.allocator, c.messenger)
 	c.quarantine = quarantiner.New(func() { c.loop.notifySuspects() })
 	headers := platform.HeaderNames()
-	c.roundTripper = roundtripper.New(headers, settings.MaxDescriptors/idleDescriptorDivisor)
+	c.roundTripper = roundtripper.New(headers, settings.MaxDescriptors/idleDescriptorDivisor, c.backendOptions...)
 	c.dispatcher = dispatcher.New(headers, platform, c.clock, c.charger, c.placer, c.roundTripper, c.recorder,
 		dispatcher.WithRetries(retryShare(settings, settings.ExpectedHosts)),
 		dispatcher.WithQuarantine(c.quarantine, c),
--- a/internal/roundtripper/pool.go
+++ b/internal/roundtripper/pool.go
@@ -24,7 +24,7 @@
 // pool holds idle connections by backend server and reuses the most recently used
 // connection first.
 type pool struct {
-	dialer    net.Dialer
+	dialer    Dialer
 	mu        sync.Mutex
 	idle      map[string][]*persistConn
 	idleCount int               // idle connections to all backend servers
@@ -32,6 +32,11 @@
 	dialCount [dialCauses]int64 // connections dialed, including failed ones
 }
 
+// Dialer opens connections to backend servers.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // dialCause is the reason why a new connection is opened.
 type dialCause int
 
@@ -51,8 +56,7 @@
 func newPool(maxIdle int) *pool {
 	return &pool{
 		maxIdle: maxIdle,
-		dialer: net.Dialer{
-			Timeout: dialTimeout,
+		dialer: &net.Dialer{
 			Control: setUserTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
@@ -121,6 +125,8 @@
 	p.mu.Lock()
 	p.dialCount[cause]++
 	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connecting to %s", address)
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -91,9 +91,21 @@
 	brokenAt    atomic.Int64 // Unix time in nanoseconds at which a reused connection last broke without a response
 }
 
+// Option sets one property of a round tripper.
+type Option func(*RoundTripper)
+
+// WithDialer replaces the dialer of the operating system's connections.
+func WithDialer(d Dialer) Option {
+	return func(t *RoundTripper) { t.pool.dialer = d }
+}
+
 // New returns a round tripper that keeps at most maxIdle idle connections in total.
-func New(headerNames header.Names, maxIdle int) *RoundTripper {
-	return &RoundTripper{headerNames: headerNames, pool: newPool(maxIdle)}
+func New(headerNames header.Names, maxIdle int, options ...Option) *RoundTripper {
+	t := &RoundTripper{headerNames: headerNames, pool: newPool(maxIdle)}
+	for _, option := range options {
+		option(t)
+	}
+	return t
 }
 
 // DialCounts returns the number of dialed connections by cause, including failed
