dispatcher, controller: relay requests of hosts that reach no backend server

Connections that fail or break, and services whose servers all fall silent, raise a suspicion; a check asks a few servers for connections and decides within 0.4 s. Requests of a lost service go to another host that reaches servers: once, with the time, the attempts and the service that are left, charged and admitted by the first host only; a refusal as not run stays one, and a broken hop has an unknown outcome. The lost service is checked until servers accept connections again, and requests return step by step, later after repeated losses. A host that has lost all services says so in its heartbeats: look-ups leave it out while others of its region are better, and nothing is relayed to it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,11 +23,13 @@
 	"magnoliahill.example/magnoliahill/internal/roundtripper"
 	"magnoliahill.example/magnoliahill/internal/storer"
 	"magnoliahill.example/magnoliahill/internal/timekeeper"
+	"magnoliahill.example/magnoliahill/internal/transitioner"
 	"magnoliahill.example/magnoliahill/pkg/allocator"
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
 	"magnoliahill.example/magnoliahill/pkg/header"
 	"magnoliahill.example/magnoliahill/pkg/placer"
 	"magnoliahill.example/magnoliahill/pkg/quarantiner"
+	"magnoliahill.example/magnoliahill/pkg/reacher"
 	"magnoliahill.example/magnoliahill/pkg/registrar"
 )
 
@@ -85,6 +87,8 @@
 	allocator      *allocator.Allocator
 	charger        *charger.Charger
 	quarantine     *quarantiner.Quarantiner
+	reach          *reacher.Reacher
+	relays         *relays
 	roundTripper   *roundtripper.RoundTripper
 	dispatcher     *dispatcher.Dispatcher
 	messenger      *messenger.Messenger
@@ -136,11 +140,15 @@
 	c.allocator = allocator.New(settings.ExpectedHosts, settings.RateOverage*usedOverageShare)
 	c.charger = charger.New(settings.Host, c.allocator, c.messenger)
 	c.quarantine = quarantiner.New(func() { c.loop.notifySuspects() })
+	chart := transitioner.MustLoad("reach")
+	c.reach = reacher.New(chart, string(chart.Initial()))
 	headers := platform.HeaderNames()
+	c.relays = &relays{RoundTripper: roundtripper.New(headers, maxIdleRelays), region: settings.Region}
 	c.roundTripper = roundtripper.New(headers, settings.MaxDescriptors/idleDescriptorDivisor, c.backendOptions...)
 	c.dispatcher = dispatcher.New(headers, platform, c.clock, c.charger, c.placer, c.roundTripper, c.recorder,
 		dispatcher.WithRetries(retryShare(settings, settings.ExpectedHosts)),
 		dispatcher.WithQuarantine(c.quarantine, c),
+		dispatcher.WithRelays(settings.Host, c.reach, c.relays, c.onReach),
 		dispatcher.WithBodyMemory(int64(settings.MemoryMB)<<20/bodyMemoryDivisor))
 	c.pendingConns = newPendingConns()
 	c.requestCtx, c.cancelRequests = context.WithCancel(context.Background())
@@ -152,6 +160,7 @@
 	usedOverageShare      = 0.5 // of the allowed rate overage; the rest covers hosts whose views of the others differ
 	idleDescriptorDivisor = 4   // one idle backend connection per this many file descriptors; callers need most of them
 	usedRetryShare        = 0.6 // of the retry budget
+	maxIdleRelays         = 128 // idle connections to hosts that requests are relayed to
 	bodyMemoryDivisor     = 8   // share of the process's memory for request bodies, which also take buffers of connections
 )
 
--- a/internal/controller/handlers.go
+++ b/internal/controller/handlers.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"net"
 	"net/http"
+	"strconv"
 
 	"github.com/alexedwards/flow"
 
@@ -33,10 +35,17 @@
 		{c.settings.ReadinessAddress, ready},
 		{c.settings.LookupAddress, lookup},
 		{c.settings.ControlAddress, control},
+		{c.relayAddress(), http.HandlerFunc(c.dispatcher.ServeRelayed)},
 		{c.metricsAddress, metrics},
 	}
 }
 
+// relayAddress returns the address at which other hosts relay requests to this one: the
+// peer port, whose datagrams are gossip.
+func (c *Controller) relayAddress() string {
+	return net.JoinHostPort(c.settings.Address, strconv.Itoa(c.settings.PeerPort))
+}
+
 func (c *Controller) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !c.ready.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/controller/lookups.go
+++ b/internal/controller/lookups.go
@@ -25,19 +25,30 @@
 }
 
 // updateLookups rebuilds the look-up answers from the live hosts that serve
-// requests. Callers get all hosts of their own region, so that others nearby
+// requests. Hosts that are cut off from all backend servers are left out while others
+// of their region are not. Callers get all hosts of their own region, so that others nearby
 // remain after the loss of one host or zone.
 func (c *Controller) updateLookups(live []tracker.Host) {
-	regionAddresses := map[string][]string{}
+	regionAddresses, cutOff := map[string][]string{}, map[string][]string{}
 	var all []string
 	for _, host := range live {
 		if host.State != tracker.Serving || host.Data == "" {
 			continue
 		}
 		region := c.settings.Regions[host.Zone]
+		if host.CutOff {
+			cutOff[region] = append(cutOff[region], host.Data)
+			continue
+		}
 		regionAddresses[region] = append(regionAddresses[region], host.Data)
 		all = append(all, host.Data)
 	}
+	for region, addresses := range cutOff {
+		if len(regionAddresses[region]) == 0 {
+			regionAddresses[region] = addresses
+			all = append(all, addresses...)
+		}
+	}
 	next := &lookupAnswers{byRegion: map[string][][]byte{}}
 	next.fallback = c.encodeLookups(all)
 	for region, addresses := range regionAddresses {
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -78,6 +78,7 @@
 	announcementDue     bool                        // an announcement of suspected requests is delayed
 	storedQuarantines   map[quarantiner.Digest]bool // quarantined requests that the store had at the last update
 	storeCorrectedAt    time.Duration               // when the stored quarantines were last compared with those of this host
+	cutOff              bool                        // this host reaches no backend server
 	registrationSent    bool                        // this host's registration was written or is being written, and has not been seen since
 }
 
@@ -295,6 +296,7 @@
 func (l *loop) tick(now time.Duration) {
 	l.releaseExpired(now)
 	l.handleSuspects(now)
+	l.checkReach(now)
 	if dropped := l.registrar.DropExpired(now); len(dropped) > 0 {
 		klog.InfoS("lapsed backend servers removed", "servers", dropped)
 		l.updatePlacer(now)
@@ -310,6 +312,7 @@
 	if now-l.sweptAt >= sweepInterval {
 		l.sweptAt = now
 		l.controller.roundTripper.CloseExpired(time.Now())
+		l.controller.relays.CloseExpired(time.Now())
 		l.updateImpaired(now)
 	}
 	if now-l.storeCorrectedAt >= quarantineCorrection {
@@ -338,6 +341,7 @@
 	l.controller.placer.SetRemoteRunning(l.remoteRunning(reported))
 	l.controller.placer.SetDemand(now, l.regionDemand(now))
 	l.controller.charger.SetHosts(owners)
+	l.updateRelays(live)
 	l.controller.updateLookups(live)
 }
 
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -52,7 +52,7 @@
 type gossipReceived struct{ *peerv1.Greeting }
 
 func (m *gossipReceived) apply(l *loop, now time.Duration) {
-	liveBefore := l.tracker.LiveCount(now)
+	liveBefore, cutOffBefore := l.tracker.LiveCount(now), l.tracker.CutOffCount(now)
 	l.tracker.Apply(now, messenger.DecodeHeartbeats(m.GetBeats())...)
 	l.tracker.ApplyCompact(now, messenger.DecodeCompactHeartbeats(m.GetPulses()))
 	if l.tracker.Superseded() {
@@ -92,6 +92,9 @@
 	if liveNow := l.tracker.LiveCount(now); liveNow != liveBefore {
 		klog.InfoS("number of live hosts changed", "hosts", liveNow, "sender", host.ID.Name)
 		l.applyPeerState(now)
+	} else if cutOff := l.tracker.CutOffCount(now); cutOff != cutOffBefore {
+		klog.InfoS("number of cut off hosts changed", "hosts", cutOff, "sender", host.ID.Name)
+		l.applyPeerState(now)
 	}
 	l.fetchFromPeers(now)
 }
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,6 +59,11 @@
 	attemptLog    string          // results of the attempts, for the request's log line
 	mayHaveRun    bool            // an attempt ended without proof that the request was not executed
 	bodyBytes     int64           // reserved for the body
+	relayedBy     string          // host that relayed the request to this one; "" if the caller sent it
+	maxAttempts   int             // backend servers that the request may be sent to
+	triedRelays   []string        // names of the hosts that the request was relayed to
+	linksChosen   bool            // linkDraw is valid
+	linkDraw      float64         // in [0, 1); decides while a service returns
 	runsAlone     bool            // the quarantine has to be told when the attempt ends
 	attributed    <-chan struct{} // closed when it is known whether the last attempt ended in a crash; nil if that is not checked
 	digested      bool            // requestDigest is known
@@ -93,7 +96,9 @@
 		return refusal
 	}
 	c.budget = c.dispatcher.budget(c.service)
-	c.budget.Earn()
+	if c.relayedBy == "" {
+		c.budget.Earn()
+	}
 	for {
 		resp, refusal, retry := c.attempt(ctx)
 		if retry {
@@ -108,79 +113,6 @@
 	}
 }
 
-// admit finds the route and workspace of the request and charges the workspace's
-// rate limit.
-func (c *call) admit() *admitter.Refusal {
-	if c.snapshot.catalog == nil {
-		return unavailable(header.ReasonNoConfig, "the host has no configuration yet", noConfigRetryAfter)
-	}
-	if c.snapshot.phase == Finishing {
-		return unavailable(header.ReasonStopping, "the host is stopping, use another", stoppingRetryAfter)
-	}
-	c.route = c.snapshot.catalog.Route(hostName(c.r.Host), c.r.URL.Path)
-	if c.route == nil {
-		return admitter.RefuseNotRun(http.StatusNotFound, header.ReasonServiceUnknown, "no route is for this host and path", 0)
-	}
-	c.setDeadline()
-	if !c.snapshot.accepts(c.startedAt, c.deadline-c.startedAt) {
-		return unavailable(header.ReasonStopping, "the host is stopping, use another", stoppingRetryAfter)
-	}
-	if limit := c.snapshot.catalog.CallerLimits().BodyBytes(); limit > 0 && c.r.ContentLength > limit {
-		return admitter.RefuseNotRun(http.StatusRequestEntityTooLarge, header.ReasonBadRequest, "the body is too large", 0)
-	}
-	if !c.route.Public() {
-		key := c.snapshot.catalog.Key(cataloger.HashKey(c.r.Header.Get(c.dispatcher.headerNames.Key)))
-		if key == nil {
-			return admitter.RefuseNotRun(http.StatusUnauthorized, header.ReasonKeyUnknown, "the key is not in force", 0)
-		}
-		c.workspace = c.snapshot.catalog.Workspace(key.Workspace())
-	}
-	if cookie, err := c.r.Cookie(c.dispatcher.headerNames.ObjectCookie); err == nil {
-		c.object = cookie.Value
-	}
-	c.service = c.dispatcher.splitter.choose(c.route, c.object, rand.Float64())
-	return c.charge()
-}
-
-// setDeadline sets the deadline to the earlier of the caller's and the route's
-// time limits.
-func (c *call) setDeadline() {
-	limit := c.route.Timeout()
-	if ms, err := strconv.ParseInt(c.r.Header.Get(c.dispatcher.headerNames.Deadline), 10, 64); err == nil && ms > 0 {
-		limit = min(limit, time.Duration(ms)*time.Millisecond)
-	}
-	c.deadline = c.startedAt + limit
-}
-
-// hostName returns a Host header without its port. An IPv6 address is returned
-// without its brackets.
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return strings.Trim(host, "[]")
-}
-
-// charge counts the request against the workspace's rate limit.
-func (c *call) charge() *admitter.Refusal {
-	if c.workspace == nil || c.workspace.Rate() <= 0 {
-		return nil
-	}
-	ok, wait := c.dispatcher.rateLimiter.Take(c.r.Context(), c.startedAt, c.workspace.Name())
-	if ok {
-		return nil
-	}
-	return admitter.RefuseNotRun(http.StatusTooManyRequests, header.ReasonOverRate, "the workspace is over its rate", wait)
-}
-
-// refund returns the charge for a request that never reached a backend server,
-// so that a caller that retries it is not charged twice.
-func (c *call) refund(refusal *admitter.Refusal) {
-	if c.workspace != nil && refusal.Outcome() == header.OutcomeNotRun && c.sentAttempts == 0 {
-		c.dispatcher.rateLimiter.Refund(c.dispatcher.clock.Now(), c.workspace.Name())
-	}
-}
-
 // allowedRegions returns the regions in which the request may be executed: those
 // that the route and the workspace both allow. It returns nil if all regions are
 // allowed.
@@ -212,6 +144,9 @@
 	if left < minTimeLeft || ctx.Err() != nil {
 		return nil, c.timedOutOrCanceled(ctx), false
 	}
+	if target, ok := c.relayTarget(now); ok {
+		return c.relayAttempt(ctx, target, left)
+	}
 	if refusal := c.enterQuarantine(ctx); refusal != nil {
 		return nil, refusal, false
 	}
@@ -231,6 +166,7 @@
 	c.dispatcher.placer.Done(c.dispatcher.clock.Now(), pick, outcome, load)
 	c.recordAttempt(pick, resp, err)
 	c.reportToQuarantine(ctx, pick, resp, err)
+	c.reportReach(ctx, pick, err)
 	if outcome == placer.Answered {
 		c.sentAttempts++
 		return resp, nil, false
@@ -254,15 +190,21 @@
 
 // outgoingRequest returns the request to send to the chosen backend server.
 func (c *call) outgoingRequest(pick placer.Pick, left time.Duration) *roundtripper.Request {
+	req := c.forwardedRequest(left)
+	req.Header.Set(c.dispatcher.headerNames.ExpectedInstance, pick.ID())
+	return req
+}
+
+// forwardedRequest returns the request to send on, to whatever receiver.
+func (c *call) forwardedRequest(left time.Duration) *roundtripper.Request {
 	names := &c.dispatcher.headerNames
 	headers := make(http.Header, len(c.r.Header)+4)
 	forwarder.CopyEndToEnd(headers, c.r.Header)
-	for _, name := range []string{names.Key, names.Workspace, names.ExpectedInstance} {
+	for _, name := range []string{names.Key, names.Workspace, names.ExpectedInstance, header.RelayedBy, header.RelayService, header.RelayAttempts} {
 		headers.Del(name) // values set by the caller are never forwarded
 	}
 	headers.Set(names.RequestID, c.id)
 	headers.Set(names.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
-	headers.Set(names.ExpectedInstance, pick.ID())
 	if c.workspace != nil {
 		headers.Set(names.Workspace, c.workspace.Name())
 	}
@@ -334,6 +276,8 @@
 		return nil, nil, true
 	case resp != nil && !c.impliesNotRun(resp.Status):
 		return resp, nil, false
+	case unreachable && !c.mayHaveRun && !c.reaches(c.dispatcher.clock.Now()):
+		return nil, unavailable(header.ReasonCutOff, "neither this host nor another one reaches a backend server of the service", c.retryAfter(0)), false
 	case notRun && !c.mayHaveRun:
 		return nil, unavailable(header.ReasonShed, "the backend servers have no room", c.retryAfter(0)), false
 	}
@@ -357,13 +301,13 @@
 // mayRetry reports whether the request may be sent to another backend server. A
 // retry is charged to the retry budget unless the last server was unreachable.
 func (c *call) mayRetry(unreachable bool) bool {
-	if !c.body.Replayable() || len(c.triedIDs) >= maxUnreachable+c.route.MaxAttempts() {
+	if !c.body.Replayable() || len(c.triedIDs) >= maxUnreachable+c.maxAttempts {
 		return false
 	}
 	if unreachable {
-		return c.sentAttempts < c.route.MaxAttempts()
+		return c.sentAttempts < c.maxAttempts && (c.reaches(c.dispatcher.clock.Now()) || c.canRelay())
 	}
-	return c.sentAttempts < c.route.MaxAttempts() && c.budget.Spend()
+	return c.sentAttempts < c.maxAttempts && c.budget.Spend()
 }
 
 // retryAfter returns the delay before a caller should retry when the backend
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -90,6 +90,8 @@
 	Done(now time.Duration, pick placer.Pick, outcome placer.Outcome, load placer.Load)
 	Reachable(now time.Duration, except string, n int) []placer.Endpoint
 	Leaves(pick placer.Pick) bool
+	RespondedSince(since time.Duration, service string) bool
+	CheckTargets(now time.Duration, service string, n int, random bool) []placer.Endpoint
 }
 
 // RoundTripper sends a request to a backend server once, or checks whether a backend
@@ -117,6 +119,21 @@
 	ClaimTrial(ctx context.Context, trial quarantiner.Trial) bool
 }
 
+// Reach tells which services the host reaches over its own links.
+type Reach interface {
+	Suspect(now time.Duration, service string) bool
+	Checked(now time.Duration, service string, passed bool) bool
+	UsesOwnLinks(now time.Duration, service string, draw float64) bool
+}
+
+// Relays chooses the other hosts that requests are relayed to, and sends them there.
+type Relays interface {
+	// Relay returns a host that reaches backend servers, in one of the regions unless
+	// these are nil, and not among those with the given names.
+	Relay(regions, except []string) (roundtripper.Target, bool)
+	RoundTrip(ctx context.Context, target roundtripper.Target, req *roundtripper.Request) (*roundtripper.Response, error)
+}
+
 // Retries limits the number of retries of a service's requests.
 type Retries struct {
 	Ratio float64 // retries per first attempt
@@ -143,6 +160,10 @@
 	crashes      *crashDetector
 	quarantine   Quarantine
 	trialClaimer TrialClaimer // nil if quarantined requests get no trials
+	reach        Reach        // nil if the host always uses its own links
+	relays       Relays       // nil if reach is
+	onReach      func(service string)
+	name         string // of the host, for those that it relays requests to
 }
 
 // Option sets one property of a dispatcher.
@@ -166,6 +187,13 @@
 	return func(c *Dispatcher) { c.quarantine, c.trialClaimer = q, claimer }
 }
 
+// WithRelays makes the dispatcher of the named host send requests of services that the
+// host does not reach to other hosts. It calls onReach when a service is lost or begins
+// to return, from any goroutine.
+func WithRelays(name string, reach Reach, relays Relays, onReach func(service string)) Option {
+	return func(c *Dispatcher) { c.name, c.reach, c.relays, c.onReach = name, reach, relays, onReach }
+}
+
 // New returns a dispatcher that refuses all requests until a snapshot is set.
 func New(headerNames header.Names, codec HeaderCodec, clock *timekeeper.Clock, rateLimiter RateLimiter, placer Placer, roundTripper RoundTripper, rec *recorder.Recorder, options ...Option) *Dispatcher {
 	c := &Dispatcher{
@@ -220,6 +248,9 @@
 func (c *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
-	current := &call{dispatcher: c, w: w, r: r, startedAt: c.clock.Now(), snapshot: c.snapshot.Load(), id: r.Header.Get(c.headerNames.RequestID)}
-	current.serve()
+	c.newCall(w, r).serve()
+}
+
+func (c *Dispatcher) newCall(w http.ResponseWriter, r *http.Request) *call {
+	return &call{dispatcher: c, w: w, r: r, startedAt: c.clock.Now(), snapshot: c.snapshot.Load(), id: r.Header.Get(c.headerNames.RequestID)}
 }
--- /dev/null
+++ b/internal/dispatcher/relay.go
@@ -0,0 +1,153 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"magnoliahill.example/magnoliahill/internal/admitter"
+	"magnoliahill.example/magnoliahill/internal/roundtripper"
+	"magnoliahill.example/magnoliahill/pkg/cataloger"
+	"magnoliahill.example/magnoliahill/pkg/header"
+)
+
+const maxRelayTries = 3 // hosts that a request is relayed to, one after the other, if they do not take it
+
+// relayTarget returns the host to relay the request to, if this host does not reach its
+// service. A request is relayed once at most.
+func (c *call) relayTarget(now time.Duration) (roundtripper.Target, bool) {
+	if c.relayedBy != "" || len(c.triedRelays) >= maxRelayTries || c.reaches(now) {
+		return roundtripper.Target{}, false
+	}
+	return c.dispatcher.relays.Relay(c.allowedRegions(), c.triedRelays)
+}
+
+// canRelay reports whether there is a host to relay the request to.
+func (c *call) canRelay() bool {
+	_, ok := c.relayTarget(c.dispatcher.clock.Now())
+	return ok
+}
+
+// relayAttempt relays the request to another host. It returns as attempt does.
+func (c *call) relayAttempt(ctx context.Context, target roundtripper.Target, left time.Duration) (*roundtripper.Response, *admitter.Refusal, bool) {
+	c.triedRelays = append(c.triedRelays, target.Instance)
+	startedAt := c.dispatcher.clock.Now()
+	attempts := c.maxAttempts - c.sentAttempts
+	resp, err := c.dispatcher.relays.RoundTrip(ctx, target, c.relayRequest(left, attempts))
+	c.recordRelay(target, startedAt, resp, err)
+	var shed *roundtripper.ShedError
+	switch {
+	case err == nil && resp.Header.Get(c.dispatcher.headerNames.ResponseStamp) != "":
+		c.sentAttempts += attempts
+		return resp, nil, false
+	case errors.As(err, &shed):
+		return c.afterRelayRefusal(shed)
+	case errors.Is(err, roundtripper.ErrUnreachable) && ctx.Err() == nil:
+		return nil, nil, true
+	}
+	// The other host may have used all attempts.
+	c.sentAttempts += attempts
+	c.mayHaveRun = c.mayHaveRun || !errors.Is(err, roundtripper.ErrUnreachable)
+	switch {
+	case ctx.Err() != nil:
+		return nil, c.timedOutOrCanceled(ctx), false
+	case err == nil:
+		if resp.Rest != nil {
+			_ = resp.Rest.Close()
+		}
+		return nil, admitter.RefuseUnknown(resp.Status, relayedReason(resp.Header), "the host that the request was relayed to got no answer"), false
+	}
+	return nil, admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonConnectionBroken, "the connection to the host that the request was relayed to is broken"), false
+}
+
+// afterRelayRefusal decides after another host refused the request as not run whether to
+// relay it to a further one.
+func (c *call) afterRelayRefusal(shed *roundtripper.ShedError) (*roundtripper.Response, *admitter.Refusal, bool) {
+	reason := relayedReason(shed.Header())
+	switch reason {
+	case header.ReasonCutOff, header.ReasonStopping, header.ReasonNoConfig, header.ReasonNoMemory:
+		if c.body.Replayable() {
+			return nil, nil, true
+		}
+	}
+	if c.mayHaveRun {
+		return nil, admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonConnectionBroken, "the backend server's answer is broken or missing"), false
+	}
+	retryAfter := time.Duration(0)
+	if seconds, err := strconv.ParseFloat(shed.Header().Get("Retry-After"), 64); err == nil && seconds > 0 {
+		retryAfter = time.Duration(seconds * float64(time.Second))
+	}
+	return nil, admitter.RefuseNotRun(shed.Status(), reason, "the host that the request was relayed to refused it", retryAfter), false
+}
+
+// relayedReason returns the reason of a refusal of another host.
+func relayedReason(headers http.Header) string {
+	if reason := headers.Get(header.Reason); reason != "" {
+		return reason
+	}
+	return header.ReasonConnectionBroken
+}
+
+// relayRequest returns the request to send to another host, which may send it to a
+// number of backend servers.
+func (c *call) relayRequest(left time.Duration, attempts int) *roundtripper.Request {
+	req := c.forwardedRequest(left)
+	req.Header.Set(header.RelayedBy, c.dispatcher.name)
+	req.Header.Set(header.RelayService, c.service)
+	req.Header.Set(header.RelayAttempts, strconv.Itoa(attempts))
+	return req
+}
+
+// recordRelay appends the result of relaying the request to the attempt log.
+func (c *call) recordRelay(target roundtripper.Target, startedAt time.Duration, resp *roundtripper.Response, err error) {
+	result := attemptRelayed
+	if err != nil {
+		result = err.Error()
+	} else if reason := resp.Header.Get(header.Reason); reason != "" {
+		result = reason
+	}
+	c.logAttempt(target.Instance + ":" + result + ":" + strconv.FormatInt((c.dispatcher.clock.Now()-startedAt).Milliseconds(), 10) + "ms")
+	c.dispatcher.scope.Counter("requests_relayed").Inc(1)
+}
+
+// ServeRelayed responds to a request that another host relayed. The other host has
+// checked the key and charged the workspace's rate limit.
+func (c *Dispatcher) ServeRelayed(w http.ResponseWriter, r *http.Request) {
+	c.inFlight.Add(1)
+	defer c.inFlight.Add(-1)
+	current := c.newCall(w, r)
+	current.relayedBy = r.Header.Get(header.RelayedBy)
+	current.serve()
+}
+
+// admitRelayed takes over what the host that relayed the request has found out.
+func (c *call) admitRelayed() *admitter.Refusal {
+	service := c.r.Header.Get(header.RelayService)
+	attempts, err := strconv.Atoi(c.r.Header.Get(header.RelayAttempts))
+	if err != nil || attempts < 1 || c.relayedBy == "" || !allowsService(c.route, service) {
+		return unavailable(header.ReasonNoConfig, "the configuration differs from that of the host that relayed the request", minRetryAfter)
+	}
+	if name := c.r.Header.Get(c.dispatcher.headerNames.Workspace); name != "" {
+		if c.workspace = c.snapshot.catalog.Workspace(name); c.workspace == nil {
+			return unavailable(header.ReasonNoConfig, "the host does not know the workspace yet", minRetryAfter)
+		}
+	}
+	c.service = service
+	c.maxAttempts = min(attempts, c.maxAttempts)
+	if !c.reaches(c.startedAt) {
+		return unavailable(header.ReasonCutOff, "the host reaches no backend server of the service", minRetryAfter)
+	}
+	return nil
+}
+
+func allowsService(route *cataloger.Route, service string) bool {
+	for _, split := range route.Splits() {
+		if split.Service() == service {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -24,6 +24,7 @@
 	attemptOtherInstance = "other-instance"
 	attemptUnreachable   = "unreached"
 	attemptUnknown       = "unknown"
+	attemptRelayed       = "relayed"
 )
 
 // recordAttempt appends the result of an attempt to the attempt log, in the form
@@ -42,14 +43,20 @@
 		result = attemptUnreachable
 	}
 	c.mayHaveRun = c.mayHaveRun || result == attemptUnknown
-	if c.attemptLog != "" {
-		c.attemptLog += " | "
-	}
 	took := c.dispatcher.clock.Now() - pick.StartedAt()
-	c.attemptLog += pick.ID() + ":" + result + ":" + strconv.FormatInt(took.Milliseconds(), 10) + "ms"
+	text := pick.ID() + ":" + result + ":" + strconv.FormatInt(took.Milliseconds(), 10) + "ms"
 	if err != nil && (result == attemptUnknown || result == attemptUnreachable) {
-		c.attemptLog += ":" + err.Error()
+		text += ":" + err.Error()
 	}
+	c.logAttempt(text)
+}
+
+// logAttempt appends a text to the attempt log.
+func (c *call) logAttempt(text string) {
+	if c.attemptLog != "" {
+		c.attemptLog += " | "
+	}
+	c.attemptLog += text
 }
 
 // writeResponse forwards the backend server's response to the caller.
@@ -73,7 +80,9 @@
 	c.w.WriteHeader(resp.Status)
 	c.writeBody(resp)
 	took := c.dispatcher.clock.Now() - c.startedAt
-	c.dispatcher.latency.Answered(c.latencyKey(), took)
+	if c.relayedBy == "" {
+		c.dispatcher.latency.Answered(c.latencyKey(), took)
+	}
 	c.logRequest("answered", resp.Status, "")
 }
 
@@ -123,9 +132,12 @@
 	if after := refusal.RetryAfter(); after > 0 {
 		headers.Set("Retry-After", c.dispatcher.codec.FormatRetryAfter(after))
 	}
+	if c.relayedBy != "" && refusal.Outcome() == header.OutcomeNotRun {
+		headers.Set(c.dispatcher.headerNames.NotRun, "1")
+	}
 	c.w.WriteHeader(refusal.Status())
 	_, _ = io.WriteString(c.w, refusal.Error()+"\n") // an error means that the caller closed the connection
-	if c.route != nil {
+	if c.route != nil && c.relayedBy == "" {
 		c.dispatcher.latency.NotAnswered(c.latencyKey(), refusal.Reason() == header.ReasonOverRate, refusal.Outcome() == header.OutcomeUnknown)
 	}
 	c.dispatcher.scope.Tagged(map[string]string{"reason": refusal.Reason()}).Counter("requests_refused").Inc(1)
@@ -154,7 +166,7 @@
 		version = c.snapshot.catalog.Generation()
 	}
 	klog.InfoS("request", "id", c.id, "outcome", outcome, "status", status, "reason", reason,
-		"digest", c.loggedDigest(), "route", route, "workspace", c.latencyKey().Workspace, "service", c.service, "object", c.object,
+		"digest", c.loggedDigest(), "relayedBy", c.relayedBy, "route", route, "workspace", c.latencyKey().Workspace, "service", c.service, "object", c.object,
 		"tries", c.attemptLog, "rank", c.lastPick.Rank(), "load", c.lastPick.Load(),
 		"expected", c.lastPick.Expected().Round(time.Millisecond), "took", (now - c.startedAt).Round(time.Millisecond),
 		"config", version, "configAge", (now - c.snapshot.appliedAt).Round(time.Millisecond), "phase", c.snapshot.phase)
--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -43,7 +43,7 @@
 	for _, b := range heartbeats {
 		wire = append(wire, &peerv1.Beat{
 			Id: EncodeID(b.ID), Zone: b.Zone, Control: b.Control, Data: b.Data,
-			State: int32(b.State), Counter: b.Counter, Boot: b.Boot,
+			State: int32(b.State), Counter: b.Counter, Boot: b.Boot, CutOff: b.CutOff,
 		})
 	}
 	return wire
@@ -60,7 +60,7 @@
 		}
 		heartbeats = append(heartbeats, tracker.Heartbeat{
 			ID: DecodeID(b.GetId()), Zone: b.GetZone(), Control: b.GetControl(), Data: b.GetData(),
-			State: state, Counter: b.GetCounter(), Boot: b.GetBoot(),
+			State: state, Counter: b.GetCounter(), Boot: b.GetBoot(), CutOff: b.GetCutOff(),
 		})
 	}
 	return heartbeats
@@ -70,7 +70,7 @@
 func EncodeCompactHeartbeats(heartbeats []tracker.CompactHeartbeat) []*peerv1.Pulse {
 	wire := make([]*peerv1.Pulse, 0, len(heartbeats))
 	for _, p := range heartbeats {
-		wire = append(wire, &peerv1.Pulse{Incarnation: p.Incarnation, Counter: p.Counter, State: int32(p.State)})
+		wire = append(wire, &peerv1.Pulse{Incarnation: p.Incarnation, Counter: p.Counter, State: int32(p.State), CutOff: p.CutOff})
 	}
 	return wire
 }
@@ -84,7 +84,7 @@
 		if state != tracker.Serving && state != tracker.Leaving {
 			continue
 		}
-		heartbeats = append(heartbeats, tracker.CompactHeartbeat{Incarnation: p.GetIncarnation(), Counter: p.GetCounter(), State: state})
+		heartbeats = append(heartbeats, tracker.CompactHeartbeat{Incarnation: p.GetIncarnation(), Counter: p.GetCounter(), State: state, CutOff: p.GetCutOff()})
 	}
 	return heartbeats
 }
--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -22,6 +22,13 @@
 	Load       = "X-Load-Report"            // requests running at the backend server
 )
 
+// Headers of requests that one entry host relays to another.
+const (
+	RelayedBy     = "Magnoliahill-Relayed-By"     // name of the host that the caller connected to
+	RelayService  = "Magnoliahill-Relay-Service"  // service chosen for the request
+	RelayAttempts = "Magnoliahill-Relay-Attempts" // backend servers that the request may still be sent to
+)
+
 // Prefix starts every header that only this system may set.
 const Prefix = "Magnoliahill-"
 
@@ -51,5 +58,6 @@
 	ReasonConnectionBroken    = "connection-broken"
 	ReasonStaleAnswer         = "stale-answer"
 	ReasonShed                = "backend-server-shed"
-	ReasonQuarantined         = "quarantined" // the request crashed backend servers
+	ReasonQuarantined         = "quarantined"  // the request crashed backend servers
+	ReasonCutOff              = "host-cut-off" // the host reaches no backend server of the service
 )
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -326,3 +326,24 @@
 	is.True(first+sent(2250*time.Millisecond, 2500*time.Millisecond) <= 22)
 	is.True(sent(2500*time.Millisecond, 6*time.Second) > 22)
 }
+
+func TestOnlyServicesWhoseServersAllFellSilentAreSilent(t *testing.T) {
+	is := is.New(t)
+	p := placer.New("h", placer.Location{Zone: "a1", Region: "a"}, regions)
+	update(p, 0, 0, nil, instance("one", "a1"), instance("two", "a1"))
+	first, _, _ := p.Choose(0, query("x"))
+	is.Equal(len(p.SilentServices(time.Second)), 0) // a single server may be slow
+	q := query("x")
+	q.Attempted = []string{first.ID()}
+	second, _, _ := p.Choose(0, q)
+	is.Equal(p.SilentServices(500*time.Millisecond), []string{service})
+	is.Equal(len(p.SilentServices(200*time.Millisecond)), 0)
+	p.Done(450*time.Millisecond, first, placer.Answered, placer.Load{})
+	third, _, _ := p.Choose(460*time.Millisecond, q)
+	is.Equal(len(p.SilentServices(500*time.Millisecond)), 0)
+	is.True(p.RespondedSince(450*time.Millisecond, service))
+	is.True(!p.RespondedSince(460*time.Millisecond, service))
+	p.Done(time.Second, second, placer.Failed, placer.Load{})
+	p.Done(time.Second, third, placer.Failed, placer.Load{})
+	is.True(!p.RespondedSince(460*time.Millisecond, service))
+}
--- a/pkg/placer/server.go
+++ b/pkg/placer/server.go
@@ -127,7 +127,7 @@
 	if load.Limit.Known && (load.Limit.Limited || pick.began >= s.limit.observedAt) {
 		s.limit.observe(now, load.Limit.Limited, load.Limit.PerSecond)
 	}
-	if outcome == Answered || outcome == Shed {
+	if outcome == Answered || outcome == Shed || outcome == Misdirected {
 		s.respondedAt = now
 	}
 	switch outcome {
--- a/pkg/tracker/compact.go
+++ b/pkg/tracker/compact.go
@@ -8,11 +8,12 @@
 	Incarnation uint64
 	Counter     uint64
 	State       State
+	CutOff      bool
 }
 
 // Compact returns the heartbeat without the fields that seldom change.
 func (h Heartbeat) Compact() CompactHeartbeat {
-	return CompactHeartbeat{Incarnation: h.ID.Incarnation, Counter: h.Counter, State: h.State}
+	return CompactHeartbeat{Incarnation: h.ID.Incarnation, Counter: h.Counter, State: h.State, CutOff: h.CutOff}
 }
 
 // Digest returns a hash of the live incarnations. It is equal on hosts that have
@@ -65,6 +66,7 @@
 		}
 		e.heartbeat.Counter = update.Counter
 		e.heartbeat.State = update.State
+		e.heartbeat.CutOff = update.CutOff
 		e.updatedAt = now
 	}
 }
--- a/pkg/tracker/host.go
+++ b/pkg/tracker/host.go
@@ -60,6 +60,7 @@
 	Data    string // host:port for callers
 	Boot    string // id of the machine's boot; "" when unknown
 	State   State
+	CutOff  bool   // it reaches no backend server; others are better for callers
 	Counter uint64 // rises with each heartbeat of one incarnation
 }
 
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -59,6 +59,20 @@
 // SetState sets the state in the heartbeats of the own host.
 func (t *Tracker) SetState(state State) { t.self.State = state }
 
+// SetCutOff sets in the heartbeats of the own host whether it reaches no backend server.
+func (t *Tracker) SetCutOff(cutOff bool) { t.self.CutOff = cutOff }
+
+// CutOffCount returns the number of live hosts that reach no backend server.
+func (t *Tracker) CutOffCount(now time.Duration) int {
+	count := 0
+	for _, host := range t.Live(now) {
+		if host.CutOff {
+			count++
+		}
+	}
+	return count
+}
+
 // Apply merges heartbeats, in any order and any number of times. Those of
 // replaced or dead incarnations are ignored; one of a gone host marks its
 // incarnation as dead.
