dispatcher: earn retries of relayed requests where they are made, relay without bodies anywhere

With both mechanisms active, a host that ran relayed requests had no budget to retry those that were in flight at another request's crash: 4 of 156 got 502. It earned nothing for them; now it does, and the relaying host does not. A request without a body whose home regions have no host that reaches servers may go to a host elsewhere, which keeps to the homes.

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -96,8 +96,8 @@
 		return refusal
 	}
 	c.budget = c.dispatcher.budget(c.service)
-	if c.relayedBy == "" {
-		c.budget.Earn()
+	if c.reaches(c.dispatcher.clock.Now()) {
+		c.budget.Earn() // otherwise the host that the request is relayed to makes the retries
 	}
 	for {
 		resp, refusal, retry := c.attempt(ctx)
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -22,7 +22,12 @@
 	if c.relayedBy != "" || len(c.triedRelays) >= maxRelayTries || c.reaches(now) {
 		return roundtripper.Target{}, false
 	}
-	return c.dispatcher.relays.Relay(c.allowedRegions(), c.triedRelays)
+	target, ok := c.dispatcher.relays.Relay(c.allowedRegions(), c.triedRelays)
+	if !ok && c.r.ContentLength == 0 {
+		// Only bodies are bound to the regions: the other host keeps to them as well.
+		return c.dispatcher.relays.Relay(nil, c.triedRelays)
+	}
+	return target, ok
 }
 
 // canRelay reports whether there is a host to relay the request to.
