quarantiner, controller: share suspicions of a single crash later

Most are cleared by their own retry. A record of one crash is now exchanged after 0.7 s, and dropped if it is cleared before; only records of two crashes or more are announced at once; fewer old ones are sent along.

--- a/internal/controller/suspects.go
+++ b/internal/controller/suspects.go
@@ -32,7 +32,7 @@
 }
 
 // handleSuspects logs the changes of records of suspected requests, stores those of
-// quarantines, and announces them to the hosts that this host informs.
+// quarantines, and announces the important ones to the hosts that this host informs.
 func (l *loop) handleSuspects(now time.Duration) {
 	changes := l.controller.quarantine.TakeChanges()
 	relay := len(changes) > 0 && l.gossiper.IsRelay(now)
@@ -40,7 +40,8 @@
 	for _, c := range changes {
 		logSuspect(c)
 		l.storeChange(c)
-		announce = announce || relay || c.Cause != quarantiner.ByHost
+		urgent := c.Crashes > 1 || c.WasQuarantined
+		announce = announce || urgent && (relay || c.Cause != quarantiner.ByHost)
 	}
 	if announce {
 		l.announceSuspects(now)
@@ -88,7 +89,7 @@
 // addSuspects adds the hash of this host's records to a message and, if the recipient's
 // last message had another one, records.
 func (l *loop) addSuspects(now time.Duration, m *peerv1.Greeting, recipient gossiper.Recipient) {
-	m.SuspectsHash = l.controller.quarantine.Hash()
+	m.SuspectsHash = l.controller.quarantine.Hash(now)
 	m.Suspects = nil
 	if m.SuspectsHash != l.peerSuspects[recipient.Name] {
 		m.Suspects = messenger.EncodeSuspects(l.controller.quarantine.States(now, maxSuspects))
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -21,12 +21,14 @@
 )
 
 const (
-	crashLimit      = 3                // crashes without a response in between, from which on a request is quarantined
-	maxRecords      = 1024             // records held; each takes about 200 bytes
-	maxChanges      = 1024             // changes held until they are taken
-	suspicionTTL    = 10 * time.Minute // after the last change of a record that is not quarantined
-	recentChange    = 5 * time.Second  // for which a changed record is exchanged before others
-	noTrialInterval = time.Hour        // retry delay of a quarantined request that gets no further trial
+	crashLimit      = 3                      // crashes without a response in between, from which on a request is quarantined
+	maxRecords      = 1024                   // records held; each takes about 200 bytes
+	maxChanges      = 1024                   // changes held until they are taken
+	suspicionTTL    = 10 * time.Minute       // after the last change of a record that is not quarantined
+	recentChange    = 2 * time.Second        // for which a changed record is exchanged before others
+	maxOldStates    = 8                      // other records exchanged at a time
+	shareDelay      = 700 * time.Millisecond // after a single crash: most innocent requests are cleared by their retry
+	noTrialInterval = time.Hour              // retry delay of a quarantined request that gets no further trial
 )
 
 // trialDelays are the times after the start of a quarantine at which a request may run
@@ -60,6 +62,7 @@
 	term          uint32   // number of times the request was cleared; never decreases
 	crashes       []uint32 // numbers of the runs of backend servers that crashed in this term; sorted, at most crashLimit
 	changedAt     time.Duration
+	shared        bool          // other hosts may know of the record
 	quarantinedAt time.Duration // valid while quarantined
 	trials        int           // trials that were used in this term, at any host
 	claiming      bool          // a trial is being claimed
@@ -154,12 +157,23 @@
 
 func (q *Quarantiner) clear(now time.Duration, d Digest, cause Cause) {
 	q.update(func() {
-		if r := q.records[d]; r != nil && len(r.crashes) > 0 {
-			q.set(now, d, r, r.term+1, nil, cause)
+		r := q.records[d]
+		if r == nil || len(r.crashes) == 0 {
+			return
+		}
+		q.set(now, d, r, r.term+1, nil, cause)
+		if !r.shared && !r.running {
+			delete(q.records, d)
+			q.count.Store(int32(len(q.records)))
 		}
 	})
 }
 
+// visible reports whether a record is exchanged with other hosts.
+func (r *record) visible(now time.Duration) bool {
+	return r.shared || len(r.crashes) > 1 || now-r.changedAt >= shareDelay
+}
+
 // update calls a function that changes records under the lock, and notifies of changes.
 func (q *Quarantiner) update(change func()) {
 	q.mu.Lock()
--- a/pkg/quarantiner/state.go
+++ b/pkg/quarantiner/state.go
@@ -80,6 +80,7 @@
 	if s.Term == r.term {
 		crashes = union(r.crashes, s.Crashes)
 	}
+	r.shared = true
 	before := r.changedAt
 	if !q.set(now, s.Digest, r, s.Term, crashes, cause) {
 		r.changedAt = min(before, now-s.Age) // the same record reaches its end of life at all hosts
@@ -89,9 +90,9 @@
 	return true
 }
 
-// Hash returns a hash of all records, and 0 if there are none. Hosts with the same
-// records have the same hash.
-func (q *Quarantiner) Hash() uint64 {
+// Hash returns a hash of the records that are exchanged, and 0 if there are none. Hosts
+// with the same records have the same hash.
+func (q *Quarantiner) Hash(now time.Duration) uint64 {
 	if q.Empty() {
 		return 0
 	}
@@ -99,6 +100,9 @@
 	defer q.mu.Unlock()
 	sum := uint64(0)
 	for d, r := range q.records {
+		if !r.visible(now) {
+			continue
+		}
 		data := binary.BigEndian.AppendUint64(nil, uint64(d))
 		data = binary.BigEndian.AppendUint32(data, r.term)
 		for _, crash := range r.crashes {
@@ -109,23 +113,26 @@
 	return sum
 }
 
-// States returns up to most records: those that changed lately first, and a random
-// choice of the others, so that all are exchanged in time.
+// States returns up to most records to exchange: those that changed lately first, and a
+// random choice of a few others, so that all are exchanged in time.
 func (q *Quarantiner) States(now time.Duration, most int) []State {
 	if q.Empty() {
 		return nil
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	digests := q.sorted(func(a, b *record) int { return cmp.Compare(b.changedAt, a.changedAt) })
+	digests := slices.DeleteFunc(q.sorted(func(a, b *record) int { return cmp.Compare(b.changedAt, a.changedAt) }), func(d Digest) bool {
+		return !q.records[d].visible(now)
+	})
 	recent, _ := slices.BinarySearchFunc(digests, recentChange, func(d Digest, limit time.Duration) int {
 		return cmp.Compare(now-q.records[d].changedAt, limit)
 	})
 	older := digests[recent:]
 	rand.Shuffle(len(older), func(i, j int) { older[i], older[j] = older[j], older[i] })
 	var states []State
-	for _, d := range digests[:min(most, len(digests))] {
+	for _, d := range digests[:min(most, recent+maxOldStates, len(digests))] {
 		r := q.records[d]
+		r.shared = true
 		states = append(states, State{Digest: d, Term: r.term, Crashes: slices.Clone(r.crashes), Age: now - r.changedAt})
 	}
 	return states
