controller: send no health reports while cut off

A host that reached no backend server reported its failures of all of them, and the other hosts avoided healthy servers while they also served its callers. Found on reading; the test failed before (1 report, none wanted).

--- a/internal/controller/loads.go
+++ b/internal/controller/loads.go
@@ -73,11 +73,14 @@
 }
 
 // healthReports returns the outcomes and latency of this host's attempts since the
-// last call, by the number of the backend server.
+// last call, by the number of the backend server. It returns none while this host is cut
+// off: its failures say nothing about the backend servers.
 func (l *loop) healthReports(now time.Duration) gossiper.HealthReports {
 	all := gossiper.HealthReports{}
 	for id, report := range l.controller.placer.TakeHealthReports(now) {
-		all[gossiper.NameHash(id)] = report
+		if !l.cutOff {
+			all[gossiper.NameHash(id)] = report
+		}
 	}
 	return all
 }
