dispatcher, reacher: pass on the time that is left after a wait

A suspected request that waited for another copy of it was sent on with the time limit of before the wait (test: 2000 ms after 300 ms of waiting). Found on reading, with smaller ones: a relayed request that was never sent was charged when its time ended, Retry-After between hosts depended on the platform's format, and a service that returned without requests was checked for ever.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -313,6 +313,7 @@
 		l.sweptAt = now
 		l.controller.roundTripper.CloseExpired(time.Now())
 		l.controller.relays.CloseExpired(time.Now())
+		l.controller.reach.Retain(l.controller.placer.ServiceNames())
 		l.updateImpaired(now)
 	}
 	if now-l.storeCorrectedAt >= quarantineCorrection {
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -150,6 +150,11 @@
 	if refusal := c.enterQuarantine(ctx); refusal != nil {
 		return nil, refusal, false
 	}
+	now = c.dispatcher.clock.Now() // the request may have waited for another copy of it
+	if left = c.deadline - now; left < minTimeLeft {
+		c.leaveQuarantine()
+		return nil, c.timedOutOrCanceled(ctx), false
+	}
 	pick, verdict, wait := c.dispatcher.placer.Choose(now, placer.Query{
 		Service: c.service, Route: c.route.Name(), Object: c.affinityObject(), Goal: c.route.LatencyGoal(),
 		TimeLeft: left, AllowedRegions: c.allowedRegions(), Attempted: c.triedIDs,
--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -43,19 +43,14 @@
 }
 
 // crashed reports whether the backend server of an attempt whose connection broke has
-// crashed. Requests that broke together share one check. It returns false when ctx ends
-// first.
-func (d *crashDetector) crashed(ctx context.Context, pick placer.Pick) bool {
+// crashed. Requests that broke together share one check.
+func (d *crashDetector) crashed(pick placer.Pick) bool {
 	check, isNew := d.check(pick.RunName())
 	if isNew {
-		go d.run(check, pick)
-	}
-	select {
-	case <-check.done:
-		return check.crashed
-	case <-ctx.Done():
-		return false
+		d.run(check, pick)
 	}
+	<-check.done
+	return check.crashed
 }
 
 // check returns the running or recent check of a run, or a new one, and whether it is
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -118,7 +118,7 @@
 
 // attribute reports the request to the quarantine if the backend server crashed.
 func (c *Dispatcher) attribute(a *attribution) {
-	if c.crashes.crashed(context.Background(), a.pick) {
+	if c.crashes.crashed(a.pick) {
 		klog.InfoS("request in flight at a crash", "id", a.id, "digest", a.digest, "route", a.route, "server", a.pick.ID(), "alone", a.alone)
 		c.quarantine.Crashed(c.clock.Now(), a.digest, a.pick.RunName(), a.route)
 	}
--- a/internal/dispatcher/quarantine_test.go
+++ b/internal/dispatcher/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -148,3 +149,25 @@
 	suspected, _ = q.Prune(0)
 	is.Equal(suspected, 0)
 }
+
+func TestRequestThatWaitedForAnotherCopyPassesOnTheTimeThatIsLeft(t *testing.T) {
+	is := is.New(t)
+	changed := make(chan struct{}, 16)
+	q := quarantiner.New(func() { changed <- struct{}{} })
+	s := newTestHost(t, 3, dispatcher.WithQuarantine(q, nil))
+	digest := s.crashWith(is, q, changed, func() { s.send(http.MethodPost, "/slow/", "id", "brooms") })
+	is.Equal(q.Enter(t.Context(), digest), quarantiner.Alone)
+	answered := make(chan result)
+	go func() { answered <- s.send(http.MethodPost, "/slow/", "id", "brooms", headerNames.Deadline, "2000") }()
+	for s.dispatcher.InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond)
+	q.Leave(digest)
+	is.Equal((<-answered).status, http.StatusOK)
+	runs := s.executions() // without those of the server that crashed
+	is.Equal(len(runs), 1)
+	left, err := strconv.Atoi(runs[0].Header.Get(headerNames.Deadline))
+	is.NoErr(err)
+	is.True(left <= 1700)
+}
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -53,9 +53,10 @@
 	case errors.Is(err, roundtripper.ErrUnreachable) && ctx.Err() == nil:
 		return nil, nil, true
 	}
-	// The other host may have used all attempts.
-	c.sentAttempts += attempts
-	c.mayHaveRun = c.mayHaveRun || !errors.Is(err, roundtripper.ErrUnreachable)
+	if !errors.Is(err, roundtripper.ErrUnreachable) {
+		c.sentAttempts += attempts // the other host may have used all of them
+		c.mayHaveRun = true
+	}
 	switch {
 	case ctx.Err() != nil:
 		return nil, c.timedOutOrCanceled(ctx), false
@@ -81,11 +82,11 @@
 	if c.mayHaveRun {
 		return nil, admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonConnectionBroken, "the backend server's answer is broken or missing"), false
 	}
-	retryAfter := time.Duration(0)
-	if seconds, err := strconv.ParseFloat(shed.Header().Get("Retry-After"), 64); err == nil && seconds > 0 {
-		retryAfter = time.Duration(seconds * float64(time.Second))
+	retryAfter, err := strconv.ParseInt(shed.Header().Get(header.RelayRetryAfter), 10, 64)
+	if err != nil {
+		retryAfter = 0 // a retry does not help
 	}
-	return nil, admitter.RefuseNotRun(shed.Status(), reason, "the host that the request was relayed to refused it", retryAfter), false
+	return nil, admitter.RefuseNotRun(shed.Status(), reason, "the host that the request was relayed to refused it", time.Duration(retryAfter)*time.Millisecond), false
 }
 
 // relayedReason returns the reason of a refusal of another host.
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -134,6 +134,7 @@
 	}
 	if c.relayedBy != "" && refusal.Outcome() == header.OutcomeNotRun {
 		headers.Set(c.dispatcher.headerNames.NotRun, "1")
+		headers.Set(header.RelayRetryAfter, strconv.FormatInt(refusal.RetryAfter().Milliseconds(), 10))
 	}
 	c.w.WriteHeader(refusal.Status())
 	_, _ = io.WriteString(c.w, refusal.Error()+"\n") // an error means that the caller closed the connection
--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -22,11 +22,13 @@
 	Load       = "X-Load-Report"            // requests running at the backend server
 )
 
-// Headers of requests that one entry host relays to another.
+// Headers of requests that one entry host relays to another, and of the responses.
 const (
 	RelayedBy     = "Magnoliahill-Relayed-By"     // name of the host that the caller connected to
 	RelayService  = "Magnoliahill-Relay-Service"  // service chosen for the request
 	RelayAttempts = "Magnoliahill-Relay-Attempts" // backend servers that the request may still be sent to
+
+	RelayRetryAfter = "Magnoliahill-Relay-Retry-After-Ms" // of a refusal
 )
 
 // Prefix starts every header that only this system may set.
--- a/pkg/placer/reach.go
+++ b/pkg/placer/reach.go
@@ -27,9 +27,7 @@
 			others = append(others, s)
 		}
 	}
-	slices.SortFunc(others, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(max(a.ejectedUntil, now), max(b.ejectedUntil, now)), cmp.Compare(b.respondedAt, a.respondedAt))
-	})
+	sortReachable(now, others)
 	return endpoints(others, n)
 }
 
@@ -47,13 +45,18 @@
 	}
 	rand.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
 	if !random {
-		slices.SortStableFunc(ready, func(a, b *server) int {
-			return cmp.Or(cmp.Compare(max(a.ejectedUntil, now), max(b.ejectedUntil, now)), cmp.Compare(b.respondedAt, a.respondedAt))
-		})
+		sortReachable(now, ready)
 	}
 	return endpoints(ready, n)
 }
 
+// sortReachable moves the servers that this host can most probably reach to the front.
+func sortReachable(now time.Duration, servers []*server) {
+	slices.SortStableFunc(servers, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(max(a.ejectedUntil, now), max(b.ejectedUntil, now)), cmp.Compare(b.respondedAt, a.respondedAt))
+	})
+}
+
 func endpoints(servers []*server, n int) []Endpoint {
 	list := make([]Endpoint, 0, n)
 	for _, s := range servers[:min(n, len(servers))] {
--- a/pkg/reacher/reacher.go
+++ b/pkg/reacher/reacher.go
@@ -84,6 +84,7 @@
 	defer r.mu.Unlock()
 	var due []string
 	for name, s := range r.services {
+		r.settle(now, s)
 		if s.state != stateReached && s.startCheck(now) {
 			due = append(due, name)
 		}
@@ -149,16 +150,26 @@
 	if s == nil {
 		return true
 	}
+	r.settle(now, s)
 	if s.state == stateReturning {
-		share := returnShare * float64(1+(now-s.since)/returnStep)
-		if share < 1 {
-			return draw < share
-		}
-		r.step(now, s, triggerSettled)
+		return draw < s.share(now)
 	}
 	return s.state != stateLost
 }
 
+// share returns the share of the requests that uses the host's own links while a service
+// returns.
+func (s *service) share(now time.Duration) float64 {
+	return returnShare * float64(1+(now-s.since)/returnStep)
+}
+
+// settle ends the return of a service when all requests use the host's own links.
+func (r *Reacher) settle(now time.Duration, s *service) {
+	if s.state == stateReturning && s.share(now) >= 1 {
+		r.step(now, s, triggerSettled)
+	}
+}
+
 // Lost returns the services that the host has lost, sorted.
 func (r *Reacher) Lost() []string {
 	r.mu.Lock()
