dispatcher: report whether a request's route is idempotent

Requests that callers send ahead on a connection may run side by side only if they may be executed more than once, which the route says. The configuration in force answers without a lock; a request without a route is not idempotent.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -232,6 +232,17 @@
 // BodyBytes returns the bytes of request bodies that the host holds.
 func (c *Dispatcher) BodyBytes() int64 { return c.bodies.held.Load() }
 
+// Idempotent reports whether requests with this Host header and path may be executed
+// more than once. It is false if there is no route for them.
+func (c *Dispatcher) Idempotent(host, path string) bool {
+	catalog := c.snapshot.Load().catalog
+	if catalog == nil {
+		return false
+	}
+	route := catalog.Route(hostName(host), path)
+	return route != nil && route.Idempotent()
+}
+
 // budget returns the retry budget of a service, which it creates on first use.
 func (c *Dispatcher) budget(service string) *limiter.RetryBudget {
 	c.mu.Lock()
