controller: serve callers that send requests ahead side by side

The data listener and its handler go through the pipeliner, in a sixteenth of the process's memory, 8 MB at most. Callers that send no request ahead are served as before.

A planned stop took a connection for idle between two requests of which the second had arrived, and could close it there.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,6 +19,7 @@
 	"magnoliahill.example/magnoliahill/internal/loader"
 	"magnoliahill.example/magnoliahill/internal/logger"
 	"magnoliahill.example/magnoliahill/internal/messenger"
+	"magnoliahill.example/magnoliahill/internal/pipeliner"
 	"magnoliahill.example/magnoliahill/internal/recorder"
 	"magnoliahill.example/magnoliahill/internal/roundtripper"
 	"magnoliahill.example/magnoliahill/internal/storer"
@@ -91,6 +92,7 @@
 	relays         *relays
 	roundTripper   *roundtripper.RoundTripper
 	dispatcher     *dispatcher.Dispatcher
+	pipeliner      *pipeliner.Pipeliner // in front of the dispatcher, for callers' connections
 	messenger      *messenger.Messenger
 	loop           *loop
 	lookups        atomic.Pointer[lookupAnswers]
@@ -150,6 +152,7 @@
 		dispatcher.WithQuarantine(c.quarantine, c),
 		dispatcher.WithRelays(settings.Host, c.reach, c.relays, c.onReach),
 		dispatcher.WithBodyMemory(int64(settings.MemoryMB)<<20/bodyMemoryDivisor))
+	c.pipeliner = c.newPipeliner()
 	c.pendingConns = newPendingConns()
 	c.requestCtx, c.cancelRequests = context.WithCancel(context.Background())
 	c.loop = newLoop(c)
@@ -213,8 +216,7 @@
 			BaseContext:       func(net.Listener) context.Context { return c.requestCtx },
 		}
 		if e.address == c.settings.DataAddress {
-			server.ConnState = c.pendingConns.track
-			c.dataListener = listener
+			listener = c.acceptCallers(server, listener)
 		}
 		c.servers = append(c.servers, server)
 		go serve(server, listener)
--- a/internal/controller/pending.go
+++ b/internal/controller/pending.go
@@ -4,11 +4,14 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"magnoliahill.example/magnoliahill/internal/pipeliner"
 )
 
 // pendingConns holds the connections that may carry a request without a response:
-// new and active ones. A server that shuts down drops requests that arrive on
-// them.
+// new and active ones, and those whose caller sent requests ahead, which the server
+// considers idle between two of them. A server that shuts down drops requests that
+// arrive on them.
 type pendingConns struct {
 	mu   sync.Mutex
 	open map[net.Conn]bool
@@ -21,7 +24,7 @@
 func (a *pendingConns) track(conn net.Conn, state http.ConnState) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if state == http.StateNew || state == http.StateActive {
+	if state == http.StateNew || state == http.StateActive || state == http.StateIdle && pipeliner.HasAhead(conn) {
 		a.open[conn] = true
 		return
 	}
--- /dev/null
+++ b/internal/controller/pipelining.go
@@ -0,0 +1,33 @@
+package controller
+
+import (
+	"net"
+	"net/http"
+
+	"magnoliahill.example/magnoliahill/internal/pipeliner"
+)
+
+const (
+	pipelineMemoryDivisor = 16      // share of the process's memory for requests that callers send ahead
+	maxPipelineMemory     = 8 << 20 // bytes; runs of some hundred requests
+)
+
+// newPipeliner returns what lets the requests that a caller sends ahead on a connection
+// run side by side.
+func (c *Controller) newPipeliner() *pipeliner.Pipeliner {
+	memory := int64(c.settings.MemoryMB) << 20 / pipelineMemoryDivisor
+	if memory <= 0 || memory > maxPipelineMemory {
+		memory = maxPipelineMemory
+	}
+	return pipeliner.New(c.dispatcher, c.dispatcher, pipeliner.WithMemory(memory), pipeliner.WithScope(c.recorder.Scope()))
+}
+
+// acceptCallers prepares the server for callers' connections and returns the listener
+// that it has to serve.
+func (c *Controller) acceptCallers(server *http.Server, listener net.Listener) net.Listener {
+	server.Handler = c.pipeliner
+	server.ConnContext = c.pipeliner.ConnContext
+	server.ConnState = c.pendingConns.track
+	c.dataListener = c.pipeliner.Listener(listener)
+	return c.dataListener
+}
