controller, registrar: count the grace of missing servers from the store's return

Hosts that do not watch the store took as the end the moment at which gossip told them, and the watching host its own list of the servers, though other kinds and other zones had been answered before. So they sent until 29.80 s to a server whose removal was acknowledged at 26.68 s; 3 s are allowed.

The end is now the earliest answer of the store to any list of any host since this host lost it. Gossip carries its age, also from hosts that do not watch, and a receiver subtracts it from its own clock. What was heard too late shortens the time that runs; nothing prolongs it. Hosts that cannot reach the store do not pass the age on, or two of them would confirm an earlier end to one another through the next outage. A watching host whose calls from before the return fail after it does not start another outage at hosts of its zone for 3 s while others reach the store.

Ruled out: a shorter grace and lost_before as the end, both drop living servers; telling lapses from leaves by revision, which the store's events do not show.

--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -142,6 +142,7 @@
 	if since := now - l.outageAt; l.outageAt > 0 && since < outageRetention {
 		m.LostBefore = uint32(since.Milliseconds()) + 1
 	}
+	m.ReturnedBefore = l.returnedBefore(now)
 	m.Generation = l.config.generation()
 	for _, cache := range l.caches {
 		m.Era = max(m.Era, cache.position.Era())
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -254,6 +254,7 @@
 		}
 		l.checkRestore(cache, u.Listed.Position())
 		cache.unreachable = false
+		l.noteReturn(now, 0, u.Kind)
 		if u.Kind == l.kinds.Servers {
 			l.registrar.StoreRegained(now)
 		}
@@ -297,10 +298,7 @@
 	l.releaseExpired(now)
 	l.handleSuspects(now)
 	l.checkReach(now)
-	if dropped := l.registrar.DropExpired(now); len(dropped) > 0 {
-		klog.InfoS("lapsed backend servers removed", "servers", dropped)
-		l.updatePlacer(now)
-	}
+	l.dropLapsed(now)
 	if now-l.gossipedAt >= heartbeatInterval-tickInterval/2 {
 		l.gossipedAt = now
 		l.applyPeerState(now)
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -19,7 +19,6 @@
 
 const (
 	maxDatagramBytes = 60 << 10               // bytes
-	outageRetention  = time.Minute            // time for which a past outage is reported; registrations return in seconds
 	fetchTimeout     = 800 * time.Millisecond // for objects from another host
 
 	// stallTimeout is the time after which a watch that is behind other hosts counts
@@ -79,16 +78,7 @@
 	}
 	l.recordPeerRetention(now, m.GetRetained(), m.GetEra(), host.Control)
 	l.config.recordPeerGeneration(now, m.GetGeneration(), host.Control)
-	if m.GetWatching() && !m.GetStoreLost() {
-		sinceOutage := outageRetention
-		if ms := m.GetLostBefore(); ms > 0 {
-			sinceOutage = time.Duration(ms) * time.Millisecond
-		}
-		l.registrar.StoreReachableElsewhere(now-sinceOutage, now)
-	}
-	if m.GetWatching() && host.Zone == l.controller.settings.Zone {
-		l.watcherSeen(now, m.GetStoreLost())
-	}
+	l.applyStoreState(now, host, m.Greeting)
 	if liveNow := l.tracker.LiveCount(now); liveNow != liveBefore {
 		klog.InfoS("number of live hosts changed", "hosts", liveNow, "sender", host.ID.Name)
 		l.applyPeerState(now)
@@ -99,40 +89,6 @@
 	l.fetchFromPeers(now)
 }
 
-// storeOutage reports whether the store is unreachable for more than this host.
-func (l *loop) storeOutage(now time.Duration) bool {
-	if !l.caches[l.kinds.Servers].unreachable || l.registrar.LocalOutage(now) {
-		return false
-	}
-	l.outageAt = now
-	return true
-}
-
-// storeUnreachable reports whether this host watches the store but cannot reach it.
-func (l *loop) storeUnreachable() bool {
-	for _, cache := range l.caches {
-		if l.watching && cache.unreachable {
-			return true
-		}
-	}
-	return false
-}
-
-// watcherSeen records a gossip message of another host of the zone that watches the
-// store, and whether the store is unreachable there.
-func (l *loop) watcherSeen(now time.Duration, lost bool) {
-	l.watcherSeenAt = now
-	if l.watching {
-		return
-	}
-	if lost {
-		l.outageAt = now
-		l.registrar.StoreLost(now)
-	} else {
-		l.registrar.StoreRegained(now)
-	}
-}
-
 // fetchFromPeers fetches objects from another host for kinds that this host does
 // not watch or cannot list, if other hosts reported later positions. It restarts
 // watches that have stalled.
--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -76,6 +76,15 @@
 		"cold", instance.ColdRemaining(), "revision", item.Revision())
 }
 
+// dropLapsed drops backend servers that are still missing when the time in which they
+// could return after an outage of the store has ended.
+func (l *loop) dropLapsed(now time.Duration) {
+	if dropped := l.registrar.DropExpired(now); len(dropped) > 0 {
+		klog.InfoS("lapsed backend servers removed", "servers", dropped)
+		l.updatePlacer(now)
+	}
+}
+
 func (l *loop) decodeServer(item storer.Item) (registrar.Instance, bool) {
 	instance, err := l.controller.platform.DecodeServer(item)
 	if err != nil {
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -20,6 +20,9 @@
 	// outageStartSlack is how much later than this host another host may have
 	// noticed the end of an earlier outage.
 	outageStartSlack = 500 * time.Millisecond
+	// lateFailureTime is how long after the return of the store calls may still fail
+	// that began before it.
+	lateFailureTime = 3 * time.Second
 )
 
 // Registered is an instance that this host considers registered.
@@ -44,9 +47,10 @@
 	entries            map[string]*entry // by id
 	storeReachable     bool
 	lostAt             time.Duration // when the store last became unreachable
-	regainedAt         time.Duration // when the store last became reachable again
+	regainedAt         time.Duration // when the store last returned: its earliest known answer to any host after the outage; never later than this host heard of it
 	everLost           bool          // the store has been unreachable and reachable again at least once
 	reachableElsewhere interval      // in which another host could reach the store without a break
+	returned           interval      // from an answer of the store, to any host or for any kind, until that was last reported
 }
 
 // interval is a range of monotonic time.
@@ -76,20 +80,86 @@
 	}
 }
 
+// fresh reports whether an interval was reported lately.
+func (i *interval) fresh(now time.Duration) bool {
+	return i.until > 0 && now-i.until <= peerReportLife
+}
+
 // LocalOutage reports whether the present or latest outage affects only this host,
 // because another host could reach the store throughout it. It is false without a
 // recent report of another host.
 func (r *Registrar) LocalOutage(now time.Duration) bool {
-	return r.reachableElsewhere.until > 0 && now-r.reachableElsewhere.until <= peerReportLife && r.reachableElsewhere.from <= r.lostAt+outageStartSlack
+	return r.reachableElsewhere.fresh(now) && r.reachableElsewhere.from <= r.lostAt+outageStartSlack
 }
 
-// StoreRegained records that this host can reach the store again.
+// StoreRegained records that this host can reach the store again. The store returned
+// then, or earlier if that was reported since the outage began.
 func (r *Registrar) StoreRegained(now time.Duration) {
 	if !r.storeReachable {
 		r.regainedAt = now
+		if at, ok := r.reportedReturn(now); ok {
+			r.regainedAt = min(now, at)
+		}
 		r.everLost = true
 	}
 	r.storeReachable = true
+	r.shortenGrace(now)
+}
+
+// StoreReturned records that the store answered a host, or a call of this host for
+// other objects, at a monotonic time which is not later than now. It does not say that
+// this host can reach the store. Times before the latest outage are ignored, and later
+// ones than the recorded time while that is still reported.
+func (r *Registrar) StoreReturned(at, now time.Duration) {
+	if at < r.lostAt || r.storeReachable && !r.everLost {
+		return
+	}
+	switch {
+	case !r.returned.fresh(now) || at <= r.returned.from:
+		r.returned = interval{from: at, until: now}
+	case at <= r.returned.until: // the same return, of which this host or the other heard later
+		r.returned.until = now
+	}
+	if r.storeReachable {
+		r.regainedAt = min(r.regainedAt, at)
+	}
+	r.shortenGrace(now)
+}
+
+// Returned returns when the store returned from its latest outage, as far as this host
+// knows; false if it was never lost or has not returned.
+func (r *Registrar) Returned(now time.Duration) (time.Duration, bool) {
+	if r.storeReachable {
+		return r.regainedAt, r.everLost
+	}
+	return r.reportedReturn(now)
+}
+
+// Reachable reports whether this host can reach the store, or the host that watches it
+// for this one can.
+func (r *Registrar) Reachable() bool { return r.storeReachable }
+
+// LateFailure reports whether a failure to reach the store may be of a call that began
+// before its latest return: that was lately, and another host still reaches it.
+func (r *Registrar) LateFailure(now time.Duration) bool {
+	return r.storeReachable && r.everLost && now-r.regainedAt < lateFailureTime && r.reachableElsewhere.fresh(now)
+}
+
+// reportedReturn returns when the store returned after the present outage began, by
+// reports that are still valid.
+func (r *Registrar) reportedReturn(now time.Duration) (time.Duration, bool) {
+	return r.returned.from, r.returned.fresh(now) && r.returned.from >= r.lostAt
+}
+
+// shortenGrace brings the end of grace periods forward to what the known return of the
+// store gives. It never delays one.
+func (r *Registrar) shortenGrace(now time.Duration) {
+	at, ok := r.Returned(now)
+	for _, e := range r.entries {
+		if ok && e.missing {
+			e.dropAt = min(e.dropAt, at+renewalGrace)
+		}
+	}
 }
 
 // Put stores a registration and replaces an earlier one of the same id.
@@ -122,16 +192,18 @@
 
 // removalEffectiveAt returns the time from which an instance without a
 // registration is dropped; 0 means at once. A host that cannot reach the store
-// receives removals from other hosts. Either they can reach the store, or the
-// store has just recovered and this host will reach it in a moment too.
+// receives removals from other hosts. Unless they say when the store returned, either
+// they could always reach it, or it has just recovered and this host will reach it in
+// a moment too.
 func (r *Registrar) removalEffectiveAt(now time.Duration) time.Duration {
-	switch {
-	case r.LocalOutage(now):
+	if r.LocalOutage(now) {
 		return 0
-	case !r.storeReachable:
+	}
+	if at, ok := r.Returned(now); ok {
+		return at + renewalGrace
+	}
+	if !r.storeReachable {
 		return now + relayedRemovalGrace
-	case r.everLost:
-		return r.regainedAt + renewalGrace
 	}
 	return 0
 }
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -133,3 +133,50 @@
 	}
 	is.Equal(r.DropExpired(2*second+100*time.Millisecond), []string{"a"})
 }
+
+// Another host, or a call for other objects, was answered before this host reaches the
+// store again: missing instances are given up by that time, not by when it is heard of.
+func TestGraceCountsFromTheEarliestAnswerOfTheStore(t *testing.T) {
+	is := is.New(t)
+	r := registrar.New()
+	r.Put(0, ready("a"))
+	r.StoreLost(second)
+	r.StoreReturned(10*second, 11*second)
+	r.StoreRegained(12 * second)
+	r.Replace(12*second, nil)
+	r.StoreReturned(10*second+50*time.Millisecond, 12*second) // does not delay it
+	is.Equal(ids(r), "a")
+	is.Equal(len(r.DropExpired(12*second+200*time.Millisecond)), 0)
+	is.Equal(r.DropExpired(12*second+300*time.Millisecond), []string{"a"})
+}
+
+func TestEarlierReturnThatIsReportedLateBringsTheEndForward(t *testing.T) {
+	is := is.New(t)
+	r := registrar.New()
+	r.Put(0, ready("a"))
+	r.StoreLost(second)
+	r.StoreRegained(12 * second)
+	r.Replace(12*second, nil)
+	r.StoreReturned(10*second, 13*second)
+	is.Equal(r.DropExpired(13*second), []string{"a"})
+}
+
+// What is said of an earlier outage does not end the present one.
+func TestReturnFromAnEarlierOutageIsIgnored(t *testing.T) {
+	is := is.New(t)
+	r := registrar.New()
+	r.Put(0, ready("a"))
+	r.StoreLost(second)
+	r.StoreRegained(5 * second)
+	r.StoreLost(7 * second)
+	r.StoreReturned(5*second, 8*second)
+	_, known := r.Returned(8 * second)
+	is.True(!known)
+	r.StoreReturned(9*second, 9*second)
+	_, known = r.Returned(11 * second)
+	is.True(!known) // nobody has confirmed it since
+	r.StoreRegained(20 * second)
+	r.Replace(20*second, nil)
+	is.Equal(len(r.DropExpired(22*second+200*time.Millisecond)), 0)
+	is.Equal(r.DropExpired(22*second+300*time.Millisecond), []string{"a"})
+}
