controller: let a host that lost the store again end its own report of reaching it

A host that lost the store again within three seconds of one answer in the middle of an outage was taken for one whose earlier calls fail late. Hosts of its zone went on saying that the store had returned at that answer, and hosts that reached the store only at the real end dropped all that had lapsed at once.

A failure counts as late only at another host than the one that last said that it reaches the store.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -49,6 +49,7 @@
 	discovering         bool          // the first list of registered hosts is being fetched
 	watchStartAt        time.Duration // a starting host does not watch the store before, while others of its zone do
 	watcherSeenAt       time.Duration // when a gossip message of another watching host of the zone last arrived
+	reachedBy           string        // host that last said that it watches and reaches the store
 	outageAt            time.Duration // when the store was last unreachable for more than this host; 0 if never
 	workCtx             context.Context
 	caches              map[string]*objectCache // by kind
--- a/internal/controller/outage.go
+++ b/internal/controller/outage.go
@@ -41,12 +41,13 @@
 			sinceOutage = time.Duration(ms) * time.Millisecond
 		}
 		l.registrar.StoreReachableElsewhere(now-sinceOutage, now)
+		l.reachedBy = host.ID.Name
 	}
 	if ms := m.GetReturnedBefore(); ms > 0 {
 		l.noteReturn(now, time.Duration(ms)*time.Millisecond, host.ID.Name)
 	}
 	if m.GetWatching() && host.Zone == l.controller.settings.Zone {
-		l.watcherSeen(now, m.GetStoreLost())
+		l.watcherSeen(now, host.ID.Name, m.GetStoreLost())
 	}
 }
 
@@ -61,14 +62,15 @@
 }
 
 // watcherSeen records a gossip message of another host of the zone that watches the
-// store, and whether the store is unreachable there.
-func (l *loop) watcherSeen(now time.Duration, lost bool) {
+// store, and whether the store is unreachable there. A failure at a host that reached
+// the store before is not a late one.
+func (l *loop) watcherSeen(now time.Duration, host string, lost bool) {
 	l.watcherSeenAt = now
 	switch {
 	case l.watching:
 	case !lost:
 		l.registrar.StoreRegained(now)
-	case !l.registrar.LateFailure(now):
+	case host == l.reachedBy || !l.registrar.LateFailure(now):
 		l.outageAt = now
 		l.registrar.StoreLost(now)
 	}
