controller, registrar: pass on only at first hand that others reach the store

A watching host that had lost the store told others that it is reachable when another host said so, which may itself only have heard it. After a first outage within a minute two such hosts confirmed it to one another through the whole next one (lost_before, rounded up, made each report start as early as the one before). They and the hosts of their zones took the outage for their own, so that all servers that had lapsed in it were dropped at once when the store was back, not kept until they had registered again.

--- a/internal/controller/outage.go
+++ b/internal/controller/outage.go
@@ -16,7 +16,7 @@
 
 // storeOutage reports whether the store is unreachable for more than this host.
 func (l *loop) storeOutage(now time.Duration) bool {
-	if !l.caches[l.kinds.Servers].unreachable || l.registrar.LocalOutage(now) {
+	if !l.caches[l.kinds.Servers].unreachable || l.registrar.ConfirmedLocalOutage(now) {
 		return false
 	}
 	l.outageAt = now
@@ -40,7 +40,11 @@
 		if ms := m.GetLostBefore(); ms > 0 {
 			sinceOutage = time.Duration(ms) * time.Millisecond
 		}
-		l.registrar.StoreReachableElsewhere(now-sinceOutage, now)
+		if m.GetBlind() {
+			l.registrar.StoreReachableElsewhere(now-sinceOutage, now)
+		} else {
+			l.registrar.StoreReachedByOther(now-sinceOutage, now)
+		}
 		l.reachedBy = host.ID.Name
 	}
 	if ms := m.GetReturnedBefore(); ms > 0 {
--- a/internal/controller/outage_test.go
+++ b/internal/controller/outage_test.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &outageHosts{loops: map[string]*loop{}, store: []string{"leaves", "lives", "lapsed"}, revision: 5}
+	h := &outageHosts{loops: map[string]*loop{}, store: []string{"leaves", "lives", "lapsed", "lapsed-1", "lapsed-2"}, revision: 5}
 	for name, zone := range c.Hosts {
 		l := newTestLoop(t, name)
 		l.controller.platform = servingPlatform{}
@@ -198,36 +198,41 @@
 	readCases(t, "outages.yaml", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
-			is := is.New(t)
-			h := newOutageHosts(t, c)
-			events := repeated(c.Events)
-			for now := time.Duration(0); now <= 40*time.Second; now += 10 * time.Millisecond {
-				for ; len(events) > 0 && seconds(events[0].At) <= now; events = events[1:] {
-					h.apply(events[0])
+			playOutages(t, c)
+		})
+	}
+}
+
+// playOutages plays a case and fails the test where a host does not do what it says.
+func playOutages(t *testing.T, c outageCase) {
+	is := is.New(t)
+	h := newOutageHosts(t, c)
+	events := repeated(c.Events)
+	for now := time.Duration(0); now <= 60*time.Second; now += 10 * time.Millisecond {
+		for ; len(events) > 0 && seconds(events[0].At) <= now; events = events[1:] {
+			h.apply(events[0])
+		}
+		for name, l := range h.loops {
+			if slices.Contains(c.Dead, name) {
+				continue
+			}
+			if now%heartbeatInterval == 0 {
+				l.storeState(now) // of this round's messages to other hosts
+			}
+			if now%tickInterval == 0 {
+				l.dropLapsed(now)
+			}
+			for id, times := range c.Kept {
+				if slices.ContainsFunc(times, func(s float64) bool { return seconds(s).Truncate(10*time.Millisecond) == now }) && !h.has(name, now, id) {
+					t.Errorf("%s has dropped %s at %v", name, id, now)
 				}
-				for name, l := range h.loops {
-					if slices.Contains(c.Dead, name) {
-						continue
-					}
-					if now%heartbeatInterval == 0 {
-						l.storeState(now) // of this round's messages to other hosts
-					}
-					if now%tickInterval == 0 {
-						l.dropLapsed(now)
-					}
-					for id, times := range c.Kept {
-						if slices.ContainsFunc(times, func(s float64) bool { return seconds(s) == now }) && !h.has(name, now, id) {
-							t.Errorf("%s has dropped %s at %v", name, id, now)
-						}
-					}
-					for id, gone := range c.Gone {
-						if now == seconds(gone) && h.has(name, now, id) {
-							t.Errorf("%s still has %s at %v", name, id, now)
-						}
-					}
+			}
+			for id, gone := range c.Gone {
+				if now == seconds(gone).Truncate(10*time.Millisecond) && h.has(name, now, id) {
+					t.Errorf("%s still has %s at %v", name, id, now)
 				}
 			}
-			is.Equal(len(events), 0)
-		})
+		}
 	}
+	is.Equal(len(events), 0)
 }
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -50,6 +50,7 @@
 	regainedAt         time.Duration // when the store last returned: its earliest known answer to any host after the outage; never later than this host heard of it
 	everLost           bool          // the store has been unreachable and reachable again at least once
 	reachableElsewhere interval      // in which another host could reach the store without a break
+	reachedByOther     interval      // the same, by reports only of hosts that reach it themselves
 	returned           interval      // from an answer of the store, to any host or for any kind, until that was last reported
 }
 
@@ -74,9 +75,19 @@
 // could renew their registrations. It replaces the recorded interval if the new
 // one starts as early or the recorded one has expired.
 func (r *Registrar) StoreReachableElsewhere(from, until time.Duration) {
-	longer := from <= r.reachableElsewhere.from
-	if longer || until-r.reachableElsewhere.until > peerReportLife {
-		r.reachableElsewhere = interval{from: from, until: until}
+	r.reachableElsewhere.record(from, until)
+}
+
+// StoreReachedByOther records the same of the host that said so itself.
+func (r *Registrar) StoreReachedByOther(from, until time.Duration) {
+	r.StoreReachableElsewhere(from, until)
+	r.reachedByOther.record(from, until)
+}
+
+// record replaces the interval by one that starts as early, or if it has expired.
+func (i *interval) record(from, until time.Duration) {
+	if from <= i.from || until-i.until > peerReportLife {
+		*i = interval{from: from, until: until}
 	}
 }
 
@@ -89,7 +100,20 @@
 // because another host could reach the store throughout it. It is false without a
 // recent report of another host.
 func (r *Registrar) LocalOutage(now time.Duration) bool {
-	return r.reachableElsewhere.fresh(now) && r.reachableElsewhere.from <= r.lostAt+outageStartSlack
+	return r.coversOutage(r.reachableElsewhere, now)
+}
+
+// ConfirmedLocalOutage is like LocalOutage, by the word of a host that reaches the store
+// itself. Hosts pass on no other: two that lost it would confirm to one another for as
+// long as it lasts that it is still there.
+func (r *Registrar) ConfirmedLocalOutage(now time.Duration) bool {
+	return r.coversOutage(r.reachedByOther, now)
+}
+
+// coversOutage reports whether a recently reported interval starts before the present or
+// latest outage.
+func (r *Registrar) coversOutage(i interval, now time.Duration) bool {
+	return i.fresh(now) && i.from <= r.lostAt+outageStartSlack
 }
 
 // StoreRegained records that this host can reach the store again. The store returned
