controller: start the history of removals at the position of a merged list

A host that is behind another one's history gets all objects of a kind from it. Such a list reflects the removals before its position without naming them, but the host took over the other's start of history, as if it had them. A third host between the two, which asked it for what had changed, got no removal and the later position: it kept the server that had left, and sent to it, until its next whole list.

TestRemovalBeforeAMergeOfAllObjectsReachesFurtherHosts failed first ("2 != 1"). The history now starts at the list's position, or the other's start if that is later, and not at all if the list was ignored.

A host of an older build may still pass on such a history to hosts of this one.

--- a/internal/controller/cache.go
+++ b/internal/controller/cache.go
@@ -61,17 +61,17 @@
 }
 
 // replaceAll replaces the cache by a complete list of the kind. A list of an
-// earlier era is ignored, and so is a late one of the same era.
-func (c *objectCache) replaceAll(all storer.ItemList) {
+// earlier era is ignored, and so is a late one of the same era; it returns false then.
+func (c *objectCache) replaceAll(all storer.ItemList) bool {
 	if all.Position().Era() != 0 && all.Position().Before(c.position) {
-		return
+		return false
 	}
 	if !c.listed {
 		c.firstEra = all.Position().Era()
 	}
 	known, sameEra := c.items, c.position.SameEra(all.Position())
 	if !c.enterEra(all.Position()) {
-		return
+		return false
 	}
 	c.listed = true
 	c.incomplete = false
@@ -95,6 +95,7 @@
 	}
 	c.removed = nil
 	c.historyStart = max(all.Revision(), c.position.Revision())
+	return true
 }
 
 // resync makes this host fetch all objects of the kind from another host. It is called
@@ -125,7 +126,8 @@
 
 // merge merges the objects of another host: all of them, or those that changed
 // since this cache's position, of which it returns those that it applied. After a
-// merge of all objects, the history of removals starts at that host's historyStart.
+// merge of all objects, the history of removals starts at their position, or at that
+// host's historyStart if that is later: they reflect earlier removals without naming them.
 func (c *objectCache) merge(objects storer.ItemList, historyStart int64, changes bool) []storer.Item {
 	var applied []storer.Item
 	switch {
@@ -135,8 +137,9 @@
 		if c.incomplete {
 			c.position = storer.NewPosition(c.position.Era(), 0)
 		}
-		c.replaceAll(objects)
-		c.historyStart = historyStart
+		if c.replaceAll(objects) {
+			c.historyStart = max(c.historyStart, historyStart)
+		}
 	}
 	if c.position.SameEra(objects.Position()) {
 		c.advance(objects.Revision())
--- a/internal/controller/cache_test.go
+++ b/internal/controller/cache_test.go
@@ -265,3 +265,23 @@
 	objects, changes := watcher.changesSince(stopped.missing())
 	is.True(stopped.accepts(objects, watcher.historyStart, changes))
 }
+
+// A host that got all objects from another one knows that something was removed before,
+// but not what. It must not tell a third host that it has all removals since then.
+func TestRemovalBeforeAMergeOfAllObjectsReachesFurtherHosts(t *testing.T) {
+	is := is.New(t)
+	both := []storer.Item{storer.NewItem("leaves", 5, nil), storer.NewItem("lives", 5, nil)}
+	watcher, behind, third := newObjectCache("servers"), newObjectCache("servers"), newObjectCache("servers")
+	behind.replaceAll(storer.NewItemList(both, 5))
+	watcher.replaceAll(storer.NewItemList(both, 6))
+	third.replaceAll(storer.NewItemList(both, 6))
+	watcher.applyChanges(storer.NewItemList([]storer.Item{storer.NewDeletedItem("leaves", 7)}, 7))
+	fetch := func(to, from *objectCache) {
+		objects, changes := from.changesSince(to.missing())
+		to.merge(objects, from.historyStart, changes)
+	}
+	fetch(behind, watcher)
+	is.Equal(len(behind.items), 1)
+	fetch(third, behind)
+	is.Equal(len(third.items), 1)
+}
