--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -49,6 +49,7 @@
 	discovering         bool          // the first list of registered hosts is being fetched
 	watchStartAt        time.Duration // a starting host does not watch the store before, while others of its zone do
 	watcherSeenAt       time.Duration // when a gossip message of another watching host of the zone last arrived
+	reachedBy           string        // host that last said that it watches and reaches the store
 	outageAt            time.Duration // when the store was last unreachable for more than this host; 0 if never
 	workCtx             context.Context
 	caches              map[string]*objectCache // by kind
@@ -254,6 +255,7 @@
 		}
 		l.checkRestore(cache, u.Listed.Position())
 		cache.unreachable = false
+		l.noteReturn(now, 0, u.Kind)
 		if u.Kind == l.kinds.Servers {
 			l.registrar.StoreRegained(now)
 		}
@@ -297,10 +299,7 @@
 	l.releaseExpired(now)
 	l.handleSuspects(now)
 	l.checkReach(now)
-	if dropped := l.registrar.DropExpired(now); len(dropped) > 0 {
-		klog.InfoS("lapsed backend servers removed", "servers", dropped)
-		l.updatePlacer(now)
-	}
+	l.dropLapsed(now)
 	if now-l.gossipedAt >= heartbeatInterval-tickInterval/2 {
 		l.gossipedAt = now
 		l.applyPeerState(now)
