cataloger: give origins a column and splits an origin of their own

A configuration from the store is mostly one line, so that a line alone does not tell items apart, and a problem with one part of a split was reported at the route.

A split has the origin of its route unless it is given another one, so that problems of service files and what hosts log stay as they are.

--- a/pkg/cataloger/route.go
+++ b/pkg/cataloger/route.go
@@ -4,8 +4,9 @@
 
 // Split is one service and its weight in the distribution of a route's requests.
 type Split struct {
-	service string // exists in the catalog
-	weight  float64
+	Origin          // that of the route unless it has its own
+	service string  // exists in the catalog
+	weight  float64 // against the other splits of the route
 }
 
 // NewSplit returns a split. Only the proportion of its weight to the other
@@ -14,6 +15,12 @@
 	return Split{service: service, weight: weight}
 }
 
+// At returns a copy of the split with its own origin.
+func (s Split) At(origin Origin) Split {
+	s.Origin = origin
+	return s
+}
+
 // Service returns the name of the service.
 func (s Split) Service() string { return s.service }
 
@@ -50,6 +57,11 @@
 	for _, option := range options {
 		option(r)
 	}
+	for i := range r.splits {
+		if r.splits[i].Origin == (Origin{}) {
+			r.splits[i].Origin = origin
+		}
+	}
 	return r
 }
 
@@ -197,7 +209,7 @@
 		}
 		for _, split := range route.splits {
 			if v.catalog.services[split.service] == nil {
-				v.addProblem(route.Origin, "service", "service %q does not exist", split.service)
+				v.addProblem(split.Origin, "service", "service %q does not exist", split.service)
 			}
 		}
 	}
--- a/pkg/cataloger/service.go
+++ b/pkg/cataloger/service.go
@@ -20,21 +20,30 @@
 	return "urgent"
 }
 
-// Origin is the file and line that an item was read from.
+// Origin is the place in a file that an item was read from.
 type Origin struct {
-	file string
-	line int // 1-based
+	file   string
+	line   int // 1-based; 0 when unknown
+	column int // 1-based, in bytes; 0 when unknown
 }
 
 // NewOrigin returns the origin at a 1-based line of a file.
 func NewOrigin(file string, line int) Origin { return Origin{file: file, line: line} }
 
+// NewPosition returns the origin at a 1-based line and column of a file.
+func NewPosition(file string, line, column int) Origin {
+	return Origin{file: file, line: line, column: column}
+}
+
 // File returns the name of the file.
 func (o Origin) File() string { return o.file }
 
-// Line returns the 1-based line number.
+// Line returns the 1-based line number, or 0 when it is not known.
 func (o Origin) Line() int { return o.line }
 
+// Column returns the 1-based column in bytes, or 0 when it is not known.
+func (o Origin) Column() int { return o.column }
+
 // BackendServer is one server that requests to a service are forwarded to.
 type BackendServer struct {
 	Origin
