--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -16,7 +16,9 @@
 
 func init() {
 	register("check", "Check service files or settings",
-		"Validates files as publish would, without the platform, and reports every problem with file, line and field.",
+		"Validates files as publish would, without the platform, and reports every problem with file, line and field. "+
+			"With --platform-config, reports all that hosts would reject or ignore in the operator's configuration, what in it cannot have an effect, and what differs from the one in force; "+
+			"exits with 0 if nothing is found, 1 if something is, and 2 if a file cannot be read. The last four options apply to --platform-config only.",
 		func(out *output) command { return &checkCommand{out: out} })
 }
 
@@ -24,13 +26,20 @@
 	out      *output
 	Settings bool `long:"settings" description:"the files are settings of entry hosts"`
 	Platform bool `long:"platform" description:"the files are settings written by the platform"`
-	Args     struct {
-		Files []string `positional-arg-name:"FILE" description:"files, or folders of .yaml files" required:"1"`
-	} `positional-args:"true" required:"true"`
+	platformConfigOptions
+	Args struct {
+		Files []string `positional-arg-name:"FILE" description:"files, or folders of .yaml files"`
+	} `positional-args:"true"`
 }
 
 // Execute implements command.
 func (c *checkCommand) Execute([]string) error {
+	if c.PlatformConfig != "" {
+		return c.checkPlatformConfig()
+	}
+	if len(c.Args.Files) == 0 {
+		return withExitCode(ExitUsage, errors.New("the required argument `FILE (at least 1 argument)` was not provided"))
+	}
 	if c.Settings || c.Platform {
 		return c.checkSettings()
 	}
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -1,6 +1,7 @@
 package commander_test
 
 import (
+	"encoding/json"
 	"net"
 	"net/http/httptest"
 	"os"
@@ -15,6 +16,10 @@
 	"magnoliahill.example/magnoliahill/platform/standin"
 )
 
+// inForce is the operator's configuration in the store.
+const inForce = `{"Version":"0000000c","Services":{"s":{}},
+"Routes":{"a":{"Host":"h","PathPrefix":"/a/","Kind":"safe","TimeoutS":3,"LatencyGoalS":1,"Service":"s","HomeRegions":["kigali"]}}}`
+
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"magnoliahill": func() { os.Exit(commander.Run(os.Args[1:], os.Stdout, os.Stderr)) },
@@ -39,6 +44,11 @@
 			objects.Put(adapter.KindQuarantines, "00000000000000a1", map[string]any{"route": "read-grades", "term": 0, "crashes": []int{1, 2, 3}})
 			objects.Put(adapter.KindQuarantines, "00000000000000a1-0-trial-1", map[string]any{"host": "h1"})
 			objects.Put(adapter.KindQuarantines, "00000000000000b2", map[string]any{"route": "order", "term": 4, "crashes": []int{4, 5, 6}})
+			objects.Put(adapter.KindConfig, "main", json.RawMessage(inForce))
+			objects.Put(adapter.KindServers, "i-1", map[string]any{"Service": "s", "Address": "10.1.0.9:80", "Zone": "kigali-a", "Slots": 4, "State": "ready"})
+			objects.Put(adapter.KindServers, "i-2", map[string]any{"Service": "s", "Address": "10.2.0.9:80", "Zone": "huye-a", "Slots": 4, "State": "ready"})
+			objects.Put(adapter.KindServers, "i-3", map[string]any{"Service": "huye-only", "Address": "10.2.0.10:80", "Zone": "huye-b", "Slots": 4, "State": "draining"})
+			objects.Put(adapter.KindServers, "i-4", map[string]any{"Service": "huye-only"})
 			objectServer := httptest.NewServer(objects)
 			env.Defer(objectServer.Close)
 			env.Defer(objects.Close)
--- a/internal/commander/quarantine.go
+++ b/internal/commander/quarantine.go
@@ -14,7 +14,7 @@
 	"magnoliahill.example/magnoliahill/platform"
 )
 
-const quarantineTimeout = 5 * time.Second // of the calls to the store
+const storeTimeout = 5 * time.Second // of the calls of one command to the store
 
 func init() {
 	register("quarantine list", "List quarantined requests",
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	quarantines, err := controller.ListQuarantines(ctx, adapter)
 	if err != nil {
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	err = controller.ReleaseQuarantine(ctx, adapter, digest)
 	if errors.Is(err, storer.ErrNotFound) {
