comparer: say which changes have no effect

Hosts on the platform read the limits on headers and idle connections, the health check's path and the connection limit, and use none of them, so that 'new ones get this' was not true for these.

--- a/pkg/comparer/items.go
+++ b/pkg/comparer/items.go
@@ -94,6 +94,23 @@
 
 func number(value float64) string { return strconv.FormatFloat(value, 'g', -1, 64) }
 
+// unused are the fields that hosts read and do not use.
+var unused = map[string]bool{
+	"header-bytes": true, "header-timeout": true, "idle-timeout": true, "health-path": true, "connections": true,
+}
+
+// onlyUnused reports whether a change is one of fields that hosts do not use.
+func onlyUnused(change Change) bool {
+	for _, field := range change.fields {
+		if !unused[field.field] {
+			return false
+		}
+	}
+	return len(change.fields) > 0
+}
+
+const noEffect = "no effect: hosts do not use it"
+
 const newOnly = "requests under way keep what they were admitted with; new ones get this"
 
 // routeEffect tells where the requests of a route go.
@@ -131,6 +148,9 @@
 	case Removed:
 		return "requests under way finish at its registered backend servers; the bound for cold ones ends at once"
 	}
+	if onlyUnused(change) {
+		return noEffect
+	}
 	return "holds at once, also for further attempts of requests under way"
 }
 
@@ -149,4 +169,9 @@
 	return newOnly
 }
 
-func limitsEffect(Change) string { return newOnly }
+func limitsEffect(change Change) string {
+	if onlyUnused(change) {
+		return noEffect
+	}
+	return newOnly
+}
