--- a/pkg/cataloger/route.go
+++ b/pkg/cataloger/route.go
@@ -1,6 +1,9 @@
 package cataloger
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Split is one service and its weight in the distribution of a route's requests.
 type Split struct {
@@ -51,7 +54,7 @@
 // attempt, and requests that are not idempotent, unless options say otherwise.
 func NewRoute(origin Origin, name, host, prefix string, splits []Split, options ...RouteOption) *Route {
 	r := &Route{
-		Origin: origin, name: name, host: host, prefix: prefix, splits: splits,
+		Origin: origin, name: name, host: host, prefix: prefix, splits: slices.Clone(splits),
 		timeout: DefaultRequestTimeout, latencyGoal: DefaultLatencyTarget, maxAttempts: 1,
 	}
 	for _, option := range options {
