placer, platform: keep the slots that backend servers report

Decisions go by the registered slots as before; a summary has both figures. TestHeaders (GOMAXPROCS=2 -race): passed.

--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -308,6 +308,9 @@
 	Slowness    float64 // time taken, as a multiple of the expected time
 	FailureRate float64 // share of recent attempts that failed
 	Ejected     bool
+	Slots       int // registered
+	// ReportedSlots are the slots in the latest load report; 0 if it had none.
+	ReportedSlots int
 }
 
 // Summaries returns the host's view of all backend servers, in no particular
@@ -320,6 +323,7 @@
 		all = append(all, Summary{
 			ID: s.ID(), Service: s.Service(), Zone: s.Zone(), Running: s.running,
 			Load: s.load(now), Slowness: s.slowness(now), FailureRate: s.failureRate(now), Ejected: now < s.ejectedUntil,
+			Slots: s.Slots(), ReportedSlots: s.reportedSlots,
 		})
 	}
 	return all
--- a/pkg/placer/server.go
+++ b/pkg/placer/server.go
@@ -25,6 +25,7 @@
 type Load struct {
 	Running int
 	Waiting int
+	Slots   int          // 0 if the server did not say
 	Known   bool         // false if the server reported no load
 	Limit   RequestLimit // known or not independently of the load
 	Leaving bool         // the server said that it leaves
@@ -49,6 +50,7 @@
 	otherRunning    int // requests that other hosts reported; 0 if none did
 	reportedLoad    int // requests running and waiting in its latest load report
 	reportedAt      time.Duration
+	reportedSlots   int     // slots in its latest load report; 0 if it did not say
 	ownAtReport     int     // requests of this host at the time of that report
 	utilization     float64 // moving average of the requests per slot
 	slownessAvg     float64 // moving average as of slownessAt
@@ -121,6 +123,7 @@
 	s.openAttempts = slices.DeleteFunc(s.openAttempts, func(a openAttempt) bool { return a.pick.seq == pick.seq })
 	if load.Known {
 		s.reportedLoad = load.Running + load.Waiting
+		s.reportedSlots = load.Slots
 		s.reportedAt = now
 		s.ownAtReport = s.running
 	}
