controller: publish average loads and what was declined by them

A line says when a service has room for cold runs no more, or again, and one which servers report other slots than registered: on change, at most every ten seconds.

--- a/internal/controller/health.go
+++ b/internal/controller/health.go
@@ -37,6 +37,8 @@
 	for kind, cache := range l.caches {
 		scope.Tagged(map[string]string{"kind": kind}).Gauge("store_revision").Update(float64(cache.position.Revision()))
 	}
+	l.updateServiceLoads(now)
+	l.updateSlotMismatches(now, all)
 	for cause, count := range l.controller.roundTripper.DialCounts() {
 		scope.Tagged(map[string]string{"cause": cause}).Gauge("backend_connections_opened").Update(float64(count))
 	}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -55,11 +55,14 @@
 	caches              map[string]*objectCache // by kind
 	config              activeConfig
 	evacuatedZones      []string
-	limited             map[string]float64 // request limits of backend servers at the last check, by id
-	leaving             []string           // ids of backend servers that left by their answers at the last check
-	impaired            map[string]bool    // ids of backend servers that were impaired at the last check
-	serverIDs           map[uint32]string  // ids of backend servers by their number in gossip messages
-	serverRuns          map[uint32]string  // the same by the number of their present run
+	limited             map[string]float64    // request limits of backend servers at the last check, by id
+	leaving             []string              // ids of backend servers that left by their answers at the last check
+	impaired            map[string]bool       // ids of backend servers that were impaired at the last check
+	serviceRooms        map[string]roomChange // by service; services that always had room are left out
+	slotMismatches      string                // backend servers whose reported slots differ from the registered ones, as last logged
+	mismatchesLoggedAt  time.Duration
+	serverIDs           map[uint32]string // ids of backend servers by their number in gossip messages
+	serverRuns          map[uint32]string // the same by the number of their present run
 	phase               dispatcher.Phase
 	stopTimes           dispatcher.StopSchedule
 	registeredHosts     []gossiper.RegisteredHost // registered hosts except this one
@@ -106,6 +109,7 @@
 		hostCount:   c.settings.ExpectedHosts,
 
 		peerSuspects: map[string]uint64{},
+		serviceRooms: map[string]roomChange{},
 	}
 	l.gossiper = gossiper.New(c.settings.Host, c.settings.Zone, l.tracker, c.settings.Seeds,
 		gossiper.WithRegions(c.settings.Regions))
--- a/pkg/placer/average.go
+++ b/pkg/placer/average.go
@@ -52,16 +52,47 @@
 
 // withoutColdRuns leaves out the servers at which the request would run cold, except
 // the first one, while the service has little room. There a cold run takes the time of
-// several warm ones and displaces an object that is warm.
-func (c *choice) withoutColdRuns(key objectKey, candidates []candidate) []candidate {
-	if !c.placer.averaging() || key.object == "" || c.hasSpareSlots() {
-		return candidates
+// several warm ones and displaces an object that is warm. It also reports whether the
+// cheapest server is left out.
+func (c *choice) withoutColdRuns(key objectKey, candidates []candidate) ([]candidate, bool) {
+	if !c.placer.averaging() || key.object == "" || len(candidates) == 0 || c.hasSpareSlots() {
+		return candidates, false
 	}
+	preferred := candidates[cheapest(candidates)].server
 	kept := candidates[:0]
 	for i, found := range candidates {
 		if i == 0 || found.server.warm(c.now, key) {
 			kept = append(kept, found)
 		}
 	}
-	return kept
+	return kept, !contains(kept, preferred)
+}
+
+// ServiceLoad is a host's view of the average load of one service.
+type ServiceLoad struct {
+	Service     string
+	Utilization float64 // requests per slot of all servers
+	HasRoom     bool    // there is room for cold runs
+	Declined    int     // requests that a server declined; they may have run at another one
+	ColdAvoided int     // requests whose cheapest server was left out because they would run cold there
+}
+
+// TakeServiceLoads returns the average loads by which servers are chosen, in no
+// particular order, with the requests counted since the last call. It is empty on fleets
+// that do not decide by average loads.
+func (p *Placer) TakeServiceLoads() []ServiceLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.averaging() {
+		return nil
+	}
+	all := make([]ServiceLoad, 0, len(p.pools))
+	for name, pool := range p.pools {
+		all = append(all, ServiceLoad{
+			Service: name, Utilization: pool.utilization, HasRoom: pool.utilization <= spareUtilization,
+			Declined: pool.declined, ColdAvoided: pool.coldAvoided,
+		})
+		pool.declined, pool.coldAvoided = 0, 0
+	}
+	return all
 }
--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -104,12 +104,18 @@
 // there is no other.
 func (c *choice) best() (candidate, bool, time.Duration) {
 	key := objectKey{c.query.Route, c.query.Object}
-	candidates := c.withoutColdRuns(key, c.candidates(key))
+	candidates, avoided := c.withoutColdRuns(key, c.candidates(key))
+	if avoided {
+		c.pool.coldAvoided++
+	}
 	declined := false
 	for len(candidates) > 0 {
 		i := cheapest(candidates)
 		found := candidates[i]
 		if c.declines(found.server) {
+			if !declined {
+				c.pool.declined++
+			}
 			declined = true
 			candidates = slices.Delete(candidates, i, i+1)
 			continue
--- a/pkg/placer/pool.go
+++ b/pkg/placer/pool.go
@@ -20,6 +20,8 @@
 	slots       int
 	utilization float64            // moving average of the requests per slot of all servers as of averagedAt
 	averagedAt  time.Duration      // on the host's clock
+	declined    int                // requests that a server declined, since they were last taken
+	coldAvoided int                // requests that did not run cold for lack of room, since they were last taken
 	regionSlots map[string]int     // slots by region
 	split       *regionSplit       // current division of requests among regions
 	orderShares map[string]float64 // region shares that the cached orders were built with
@@ -99,6 +101,7 @@
 // averages of demand and utilization in any case.
 func (p *pool) inherit(old *pool) {
 	p.utilization, p.averagedAt = old.utilization, old.averagedAt
+	p.declined, p.coldAvoided = old.declined, old.coldAvoided
 	if maps.Equal(p.regionSlots, old.regionSlots) {
 		p.split = old.split
 		p.setOrderShares(old.orderShares)
