placer: test one failure each of decisions by average loads

Each test brings one failure about, without a network: gossip that stops, a server that always reports 0, is always full, or reports 1,048,576 requests, averages that nothing renews, regions and evacuated zones that bind.

--- a/pkg/placer/loads_test.go
+++ b/pkg/placer/loads_test.go
@@ -31,6 +31,7 @@
 	results     results
 	reported    map[string]int   // requests by server at the last gossip, from all hosts
 	ownReported []map[string]int // the same, from each host
+	failures    failures
 }
 
 type server struct {
@@ -51,41 +52,6 @@
 	arrived time.Duration
 }
 
-type results struct {
-	requests, onTime, late, lost, refused, shed int
-	windows                                     map[int]*windowResult // by number, from the start
-}
-
-// windowResult counts the requests that arrived within a window.
-type windowResult struct{ requests, onTime int }
-
-const (
-	resultWindow = 2 * time.Second
-	warmUp       = 4 * time.Second // windows before it are not judged: all runs are cold
-)
-
-func (r *results) window(arrived time.Duration) *windowResult {
-	number := int(arrived / resultWindow)
-	if r.windows[number] == nil {
-		r.windows[number] = &windowResult{}
-	}
-	return r.windows[number]
-}
-
-// worstWindow returns the smallest share of requests on time in any window, as a
-// multiple of the share over all windows.
-func (r *results) worstWindow() float64 {
-	sum, worst := windowResult{}, 1.0
-	for number, w := range r.windows {
-		if number >= int(warmUp/resultWindow) {
-			sum.requests += w.requests
-			sum.onTime += w.onTime
-			worst = min(worst, float64(w.onTime)/float64(w.requests))
-		}
-	}
-	return worst * float64(sum.requests) / float64(max(sum.onTime, 1))
-}
-
 // workload is an entry of the data file.
 type workload struct {
 	Name    string
@@ -163,7 +129,7 @@
 
 // gossip gives each host what the others had in flight at the previous gossip.
 func (sim *simulation) gossip() {
-	if sim.workload.Gossip == 0 || sim.now%sim.workload.Gossip != 0 {
+	if sim.workload.Gossip == 0 || sim.now%sim.workload.Gossip != 0 || sim.silent() {
 		return
 	}
 	for i, host := range sim.hosts {
@@ -211,6 +177,7 @@
 		for n := sim.rate() * step.Seconds(); n > 0 && sim.rng.Float64() < n; n-- {
 			sim.sendRequest()
 		}
+		sim.failures.observe(sim)
 	}
 	return sim.results
 }
@@ -282,6 +249,7 @@
 	})
 	if verdict != placer.Chosen {
 		sim.results.refused++
+		sim.failures.refused(sim)
 		return
 	}
 	request := simulatedRequest{host: host, pick: pick, object: object, arrived: sim.now}
@@ -310,6 +278,7 @@
 
 func (sim *simulation) report(id string, s *server) placer.Load {
 	load := placer.Load{Running: s.running, Waiting: len(s.waiting), Known: true, Limit: placer.RequestLimit{Known: true}}
+	sim.failures.lie(id, &load)
 	limited, at := sim.workload.Limited, sim.now.Seconds()
 	if limited.PerSecond > 0 && strings.HasPrefix(id, limited.Server) && at >= limited.From && at < limited.To {
 		load.Limit.Limited, load.Limit.PerSecond = true, limited.PerSecond
