commander: bound the elapsed time of the check of a large configuration again

The bound of one second on processor time alone was not as strict as the stated second: a check that waits for the store, a lock or a disk uses no processor. Processor time is the stricter of the two only on an idle machine with several threads.

--- a/internal/commander/checkconfig_test.go
+++ b/internal/commander/checkconfig_test.go
@@ -56,23 +56,35 @@
 }
 
 // A configuration with 1,600 routes and 80 workspaces is checked and compared within
-// a second of processor time, also if every route is invalid. Elapsed time would
-// include the waits for other tests of the machine.
+// a second, also if every route is invalid.
 func TestCheckLargeConfig(t *testing.T) {
 	for _, timeout := range []string{"3", `"3"`} {
-		is := is.New(t)
-		config := writeFile(t, "config.json", largeConfig(timeout))
-		inForce := writeFile(t, "inforce.json", largeConfig("4"))
-		var out, errOut bytes.Buffer
-		start, startedAt := processorTime(t), time.Now()
-		commander.Run([]string{"check", "--platform-config", config, "--in-force", inForce}, &out, &errOut)
-		took := processorTime(t) - start
-		t.Logf("checked in %v of processor time, %v elapsed", took, time.Since(startedAt))
-		is.Equal(strings.Count(out.String(), "TimeoutS: "), 1600)
-		is.True(took < time.Second)
+		elapsed, _ := checkLargeConfig(t, timeout)
+		is.New(t).True(elapsed < time.Second)
 	}
 }
 
+// The same in processor time, which does not depend on what else the machine does.
+func TestCheckLargeConfigWork(t *testing.T) {
+	for _, timeout := range []string{"3", `"3"`} {
+		_, worked := checkLargeConfig(t, timeout)
+		is.New(t).True(worked < time.Second)
+	}
+}
+
+// checkLargeConfig returns the elapsed time and the processor time of one check.
+func checkLargeConfig(t *testing.T, timeout string) (elapsed, worked time.Duration) {
+	config := writeFile(t, "config.json", largeConfig(timeout))
+	inForce := writeFile(t, "inforce.json", largeConfig("4"))
+	var out, errOut bytes.Buffer
+	start, startedAt := processorTime(t), time.Now()
+	commander.Run([]string{"check", "--platform-config", config, "--in-force", inForce}, &out, &errOut)
+	elapsed, worked = time.Since(startedAt), processorTime(t)-start
+	t.Logf("checked in %v of processor time, %v elapsed", worked, elapsed)
+	is.New(t).Equal(strings.Count(out.String(), "TimeoutS: "), 1600)
+	return elapsed, worked
+}
+
 // processorTime returns the processor time that all threads of the process have used.
 func processorTime(t *testing.T) time.Duration {
 	var usage syscall.Rusage
