placer: keep a second server beside one that starts, bound reported loads

Cause: two faults that the review of placing found. A reported load of 2^20 requests was believed in part for many seconds; at most four requests per slot are believed.

--- a/pkg/placer/average.go
+++ b/pkg/placer/average.go
@@ -51,7 +51,7 @@
 }
 
 // withoutColdRuns leaves out the servers at which the request would run cold, except
-// the first one, while the service has little room. There a cold run takes the time of
+// the first one that does not start, while the service has little room. There a cold run takes the time of
 // several warm ones and displaces an object that is warm. It also reports whether the
 // cheapest server is left out.
 func (c *choice) withoutColdRuns(key objectKey, candidates []candidate) ([]candidate, bool) {
@@ -60,10 +60,12 @@
 	}
 	preferred := candidates[cheapest(candidates)].server
 	kept := candidates[:0]
-	for i, found := range candidates {
-		if i == 0 || found.server.warm(c.now, key) {
+	leading := true // all servers so far may be starting, and take no request of this host
+	for _, found := range candidates {
+		if leading || found.server.warm(c.now, key) {
 			kept = append(kept, found)
 		}
+		leading = leading && found.server.maybeCold(c.now)
 	}
 	return kept, !contains(kept, preferred)
 }
--- a/pkg/placer/server.go
+++ b/pkg/placer/server.go
@@ -122,7 +122,7 @@
 	s.running--
 	s.openAttempts = slices.DeleteFunc(s.openAttempts, func(a openAttempt) bool { return a.pick.seq == pick.seq })
 	if load.Known {
-		s.reportedLoad = load.Running + load.Waiting
+		s.reportedLoad = min(load.Running+load.Waiting, maxReportedPerSlot*max(s.Slots(), 1))
 		s.reportedSlots = load.Slots
 		s.reportedAt = now
 		s.ownAtReport = s.running
@@ -172,7 +172,10 @@
 	}
 }
 
-const shedLoadPerSlot = 3 // approximate requests per slot at a server that sheds
+const (
+	shedLoadPerSlot    = 3 // approximate requests per slot at a server that sheds
+	maxReportedPerSlot = 4 // requests per slot that are believed: more fit into no queue
+)
 
 // observeFailure adds a sample to the average: 1 for a failure, 0 for a
 // success.
