pipeliner: keep one caller that reads nothing from taking all memory

Cause: the bytes that a waiting handler has to write counted in full, up to 1 MB for each of eight runs, against the 8 MB for all connections. One caller that sent requests for answers of 1 MB ahead and read nothing so ended side by side for all others, whose requests ran one after the other again. In a process of 16 MB answers of 200 kB sufficed.

They count up to a sixty-fourth of the memory now, so that one caller's share is at most 1.8 of 8 MB, or 0.9 of 1 MB, with its look-ahead and the bodies held.

Ruled out: not to count them, since callers that read nothing would then hold any number of answers; to let the dispatcher read less of an answer for a run, since a long body needs a signature; to cancel such runs and repeat them, since repeats cost the retry budget.

The number of bytes held in all is arithmetic, not measured.

--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -23,6 +23,11 @@
 	runCost        = 32 << 10 // memory that a run takes beside its response: stacks, headers, a backend connection
 	minStep        = 4 << 10  // of the response that the server writes, held also beyond the limit on all connections
 
+	// Share of the memory for all connections that counts for what a waiting handler has to
+	// write. A connection has at most maxAhead of these; one whose caller reads nothing
+	// leaves the others memory.
+	waitingDivisor = 8 * maxAhead
+
 	defaultMemory = 8 << 20 // bytes held for all connections
 )
 
--- a/internal/pipeliner/run.go
+++ b/internal/pipeliner/run.go
@@ -152,11 +152,12 @@
 }
 
 // wait waits until the run has changed. The bytes that the handler waits to write are
-// counted as held.
+// counted as held, up to a share of the memory.
 func (u *run) wait(pending int) {
-	u.conn.pipeliner.held.Add(int64(pending))
+	counted := min(int64(pending), u.conn.pipeliner.memory/waitingDivisor)
+	u.conn.pipeliner.held.Add(counted)
 	u.changed.Wait()
-	u.conn.pipeliner.release(pending)
+	u.conn.pipeliner.held.Add(-counted)
 }
 
 // copyTo writes the response to the server's writer as it comes. It panics as a handler
