pipeliner: notice a caller's leaving also behind a full look-ahead

Cause: with the look-ahead full, conn gave the server a byte, and nobody waited for the caller's leaving any more until the next write. A caller that had sent more than 16 KB ahead and left so kept nine requests running until the first of them was answered; without the pipeliner it was one.

While there is no room, conn waits at the socket for the end of the stream or a reset. The runtime's poller wakes that wait whenever something arrives, and the server interrupts it by the read deadline, as it does a read; so there is no goroutine and no polling at intervals. Connections without a socket, as in the tests, are served as before. An end of the stream behind more bytes than the socket's buffer holds has not reached the host and is not seen.

Ruled out: to read more than the look-ahead, which is not bounded; to start fewer requests of such a caller, which does not end those that run.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -145,8 +145,9 @@
 }
 
 // readAhead reads into the buffer until the read is interrupted by its deadline, or the
-// caller leaves. Only if there is no room does it return a byte; the server then notices
-// by its next write that the caller has left, as it does without this package.
+// caller leaves; if there is no room, it only waits for these. On a connection without a
+// socket it returns a byte if there is no room; the server then notices by its next write
+// that the caller has left, as it does without this package.
 func (c *conn) readAhead(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.readErr != nil {
@@ -166,6 +167,11 @@
 		c.start()
 		c.compact()
 		if c.limit == len(c.buffer) {
+			c.mu.Unlock()
+			if err := waitUntilLeft(c.Conn); err != nil {
+				return 0, c.readFailed(err)
+			}
+			c.mu.Lock()
 			defer c.mu.Unlock()
 			p[0] = c.buffer[0]
 			c.first = c.framer.take(p)
