allocator, charger: grant no charges to limits that a host does not know

Cause: a charge of another host to a limit that is unknown here was granted. A host that had just started in place of a dead one so granted all charges of its region to the pools that it owns. Change: such a charge is an error; the asking host uses its fallback and goes on asking this one for other limits.

--- a/internal/charger/charger.go
+++ b/internal/charger/charger.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"magnoliahill.example/magnoliahill/pkg/allocator"
 	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
@@ -99,7 +101,9 @@
 	if err == nil {
 		return allowed, wait
 	}
-	if ctx.Err() == nil { // otherwise the caller went away, which says nothing about the owner
+	// A caller that went away says nothing about the owner, and an owner that does not
+	// know this limit may know others.
+	if ctx.Err() == nil && !errors.Is(err, allocator.ErrUnknownLimit) {
 		c.markUnavailable(now, owner.Control)
 	}
 	return c.shares.TakeFallback(now, limit)
--- a/internal/charger/charger_test.go
+++ b/internal/charger/charger_test.go
@@ -29,8 +29,7 @@
 	if z.cutOff[control] {
 		return false, 0, errors.New("cut off")
 	}
-	ok, wait := z.shares[control].Take(time.Minute, limit)
-	return ok, wait, nil
+	return z.shares[control].TakeForOther(time.Minute, limit)
 }
 
 func newZone(n int) (*zone, map[string]*charger.Charger) {
@@ -114,3 +113,26 @@
 	}
 	is.Equal(z.charges, before+7) // the hosts that are not the owner ask it again
 }
+
+// The owner of a limit may have started a moment ago, or not have the configuration yet
+// that sets it. It grants nothing then, and stays the owner of other limits.
+func TestOwnerThatDoesNotKnowTheLimit(t *testing.T) {
+	is := is.New(t)
+	admitted, charges := 0, 0
+	for _, own := range []string{"h0", "h1", "h2", "h3"} { // one of them is the owner
+		z, chargers := newZone(4)
+		for name, shares := range z.shares {
+			if name != own {
+				shares.SetLimits(time.Second, nil)
+			}
+		}
+		for range 20 {
+			if ok, _ := chargers[own].Take(t.Context(), time.Minute, "small"); ok {
+				admitted++
+			}
+		}
+		charges += z.charges
+	}
+	is.True(admitted <= 10+3) // by the owner itself, and a token of each other host's fallback
+	is.Equal(charges, 3*20)   // the owner is not taken as unavailable
+}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -224,9 +224,13 @@
 }
 
 // Charge takes one request from this host's share of a limit. If the share is used
-// up, it returns the wait until the next request in milliseconds.
+// up, it returns the wait until the next request in milliseconds. The error is of code
+// not_found if this host does not know the limit, or not yet.
 func (p *peerService) Charge(_ context.Context, req *connect.Request[peerv1.ChargeRequest]) (*connect.Response[peerv1.ChargeResponse], error) {
-	allowed, wait := p.controller.allocator.Take(p.controller.clock.Now(), req.Msg.GetLimit())
+	allowed, wait, err := p.controller.allocator.TakeForOther(p.controller.clock.Now(), req.Msg.GetLimit())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeNotFound, err)
+	}
 	return connect.NewResponse(&peerv1.ChargeResponse{Allowed: allowed, Wait: uint32(wait.Milliseconds())}), nil
 }
 
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -13,6 +13,7 @@
 
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1/peerv1connect"
+	"magnoliahill.example/magnoliahill/pkg/allocator"
 )
 
 const (
@@ -90,9 +91,13 @@
 }
 
 // Charge charges one request to a limit at the host that owns it. When the limit is
-// used up, wait is the time until it allows another request.
+// used up, wait is the time until it allows another request. The error is
+// allocator.ErrUnknownLimit if that host does not know the limit.
 func (m *Messenger) Charge(ctx context.Context, control, limit string) (allowed bool, wait time.Duration, err error) {
 	resp, err := m.Peer(control).Charge(ctx, connect.NewRequest(&peerv1.ChargeRequest{Limit: limit}))
+	if connect.CodeOf(err) == connect.CodeNotFound {
+		err = allocator.ErrUnknownLimit
+	}
 	if err != nil {
 		return false, 0, errors.Wrapf(err, "charging limit %s at %s", limit, control)
 	}
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -17,6 +17,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"magnoliahill.example/magnoliahill/pkg/limiter"
 )
 
@@ -31,6 +33,9 @@
 	initialFill        = 0.25                   // fraction of the burst that a host starts with; an earlier process may have spent the rest
 )
 
+// ErrUnknownLimit is the error of a charge for another host to a limit that is not set.
+var ErrUnknownLimit = errors.New("unknown limit")
+
 // Limit is a rate limit that all hosts enforce together.
 type Limit struct {
 	Name  string
@@ -199,6 +204,20 @@
 	return take(now, s.bucket)
 }
 
+// TakeForOther charges one request of another host, like Take. A limit that is unknown
+// here has no tokens for others: this host may have started a moment ago.
+func (a *Allocator) TakeForOther(now time.Duration, name string) (bool, time.Duration, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := a.shares[name]
+	if s == nil {
+		return false, 0, ErrUnknownLimit
+	}
+	s.requests++
+	ok, wait := take(now, s.bucket)
+	return ok, wait, nil
+}
+
 // TakeFallback charges one request to the fallback bucket of a pooled limit. It
 // is used while the owner of the limit is unavailable, and returns the same
 // values as Take.
