--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -193,7 +193,7 @@
 			first, second = order.local, order.all
 		}
 		list = c.newCandidates(key, nil, 0)
-		if c.placer.averaging() && c.runTimes.bytes >= largeExchange {
+		if c.placer.averaging() && c.runTimes.bytes >= largeExchange && c.pool.zoneHasShare() {
 			list = c.appendCandidates(list, key, order.zonal, zonalCandidates)
 		}
 		list = c.appendCandidates(list, key, first, orderCandidates)
--- a/pkg/placer/pool.go
+++ b/pkg/placer/pool.go
@@ -23,6 +23,7 @@
 	declined    int                // requests that a server declined, since they were last taken
 	coldAvoided int                // requests that did not run cold for lack of room, since they were last taken
 	regionSlots map[string]int     // slots by region
+	zoneSlots   int                // slots in the host's availability zone
 	split       *regionSplit       // current division of requests among regions
 	orderShares map[string]float64 // region shares that the cached orders were built with
 	orders      map[objectKey]*order
@@ -47,6 +48,9 @@
 	p.servers = append(p.servers, s)
 	p.slots += s.Slots()
 	p.regionSlots[s.region] += s.Slots()
+	if s.Zone() == p.location.Zone {
+		p.zoneSlots += s.Slots()
+	}
 }
 
 // finish sorts the servers and sets the initial shares, once all servers are
@@ -75,6 +79,10 @@
 	p.setOrderShares(p.split.regionShares)
 }
 
+// zoneHasShare reports whether the host's availability zone has as many slots as the
+// zones have on average. With fewer it can't serve its own callers.
+func (p *pool) zoneHasShare() bool { return p.zoneSlots*len(p.regions) >= p.slots }
+
 // load estimates the requests at all servers.
 func (p *pool) load(now time.Duration) float64 {
 	sum := 0.0
--- a/pkg/placer/zonal_test.go
+++ b/pkg/placer/zonal_test.go
@@ -12,13 +12,19 @@
 )
 
 // A host of a large fleet learns the size of a route's exchanges from its own
-// responses and keeps large ones in its availability zone.
+// responses and keeps large ones in its availability zone, if that has its share of the
+// servers.
 func TestLargeExchangesStayInTheirZone(t *testing.T) {
 	for _, c := range []struct {
-		bytes int64
-		zonal bool
-	}{{bytes: 1500}, {bytes: 90_000, zonal: true}} {
-		t.Run(fmt.Sprint(c.bytes, " bytes"), func(t *testing.T) {
+		bytes     int64
+		near, far int // servers in the host's zone and in another one; there are six zones
+		zonal     bool
+	}{
+		{bytes: 1500, near: 4, far: 4},
+		{bytes: 90_000, near: 4, far: 4, zonal: true},
+		{bytes: 90_000, near: 1, far: 7}, // less than the zone's share
+	} {
+		t.Run(fmt.Sprint(c.bytes, " bytes, ", c.near, " near"), func(t *testing.T) {
 			is := is.New(t)
 			p := placer.New("host-0", placer.Location{Zone: "a1", Region: "a"}, regions)
 			var hosts []string
@@ -27,8 +33,11 @@
 			}
 			p.SetHosts(hosts)
 			var instances []registrar.Instance
-			for i := range 4 {
-				instances = append(instances, instance(fmt.Sprint("near-", i), "a1"), instance(fmt.Sprint("far-", i), "a2"))
+			for i := range c.near {
+				instances = append(instances, instance(fmt.Sprint("near-", i), "a1"))
+			}
+			for i := range c.far {
+				instances = append(instances, instance(fmt.Sprint("far-", i), "a2"))
 			}
 			update(p, 0, 0, nil, instances...)
 			now := time.Duration(0)
