--- a/pkg/placer/average.go
+++ b/pkg/placer/average.go
@@ -50,10 +50,10 @@
 	return min(max(load, minDeclineLoad), maxDeclineLoad)
 }
 
-// withoutColdRuns leaves out the servers at which the request would run cold, except
-// the first one that does not start, while the service has little room. There a cold run takes the time of
-// several warm ones and displaces an object that is warm. It also reports whether the
-// cheapest server is left out.
+// withoutColdRuns leaves out the servers at which the request would run cold while the
+// service has little room: a cold run takes the time of several warm ones and displaces
+// an object that is warm. The first server that does not start stays, with those before
+// it. It also reports whether the cheapest server is left out.
 func (c *choice) withoutColdRuns(key objectKey, candidates []candidate) ([]candidate, bool) {
 	if !c.placer.averaging() || key.object == "" || len(candidates) == 0 || c.hasSpareSlots() {
 		return candidates, false
