--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -98,7 +98,8 @@
 
 // best returns the cheapest server that may be used. Without one, the duration
 // is the time by which the request would wait too long, or 0 if no server may
-// be used at all. A request that would wait too long at its best server is not
+// be used at all. On a large fleet a busy server may decline the request, and the next
+// cheapest is taken. A request that would wait too long at its best server is not
 // sent to one where it would run cold: a cold run takes several times the
 // work, at a time when capacity is short. Ejected servers are used only if
 // there is no other.
