commander: read the version in force beside the examination

Ruled out: another bound, or the elapsed time without a load. The test stays as it is.

Now both are decoded side by side.

--- a/internal/commander/checkconfig.go
+++ b/internal/commander/checkconfig.go
@@ -78,8 +78,13 @@
 	if err != nil {
 		return withExitCode(ExitUsage, errors.Wrap(err, "failed to read configuration"))
 	}
-	d, deploymentErr := c.readDeployed()
-	report, readable := reportConfig(filepath.Base(c.PlatformConfig), content, d)
+	d, deploymentErr := c.readSettings()
+	examined := make(chan *platform.Examination, 1)
+	go func() { examined <- platform.Examine(filepath.Base(c.PlatformConfig), content, d.regions()) }()
+	if deploymentErr == nil {
+		deploymentErr = c.readActive(d)
+	}
+	report, readable := reportConfig(<-examined, d)
 	if err := report.write(c.out.stdout, c.JSON); err != nil {
 		return errors.Wrap(err, "failed to write the result")
 	}
@@ -94,22 +99,29 @@
 	return nil
 }
 
-// readDeployed reads what the options name. With an error it returns what could be
-// read.
-func (c *checkCommand) readDeployed() (*deployed, error) {
+// readSettings reads the settings, if the options name them. With an error it returns a
+// deployment of which nothing is known.
+func (c *checkCommand) readSettings() (*deployed, error) {
 	d := &deployed{}
-	if c.PlatformSettings != "" {
-		settings, err := (&settingsFile{path: c.PlatformSettings}).read()
-		if err != nil {
-			return d, err
-		}
-		d.settings = settings
-		var regions []string
-		for _, region := range settings.Regions {
-			regions = append(regions, region)
-		}
-		d.options = append(d.options, auditor.WithRegions(regions), auditor.WithMemory(int64(settings.MemoryMB)<<20))
+	if c.PlatformSettings == "" {
+		return d, nil
+	}
+	settings, err := (&settingsFile{path: c.PlatformSettings}).read()
+	if err != nil {
+		return d, err
+	}
+	d.settings = settings
+	var regions []string
+	for _, region := range settings.Regions {
+		regions = append(regions, region)
 	}
+	d.options = append(d.options, auditor.WithRegions(regions), auditor.WithMemory(int64(settings.MemoryMB)<<20))
+	return d, nil
+}
+
+// readActive reads the configuration in force from the file or store that the options
+// name. With an error, what could be read is set.
+func (c *checkCommand) readActive(d *deployed) error {
 	var err error
 	switch {
 	case c.InForce != "":
@@ -120,7 +132,7 @@
 	if d.catalog != nil {
 		d.options = append(d.options, auditor.WithActive(d.catalog.Generation()))
 	}
-	return d, err
+	return err
 }
 
 func (d *deployed) readFile(file string) error {
@@ -169,16 +181,15 @@
 	return nil
 }
 
-// reportConfig examines a configuration, and reports whether it is JSON.
-func reportConfig(file string, content []byte, d *deployed) (*configReport, bool) {
-	examined := platform.Examine(file, content, d.regions())
+// reportConfig reports on an examined configuration, and whether it is JSON.
+func reportConfig(examined *platform.Examination, d *deployed) (*configReport, bool) {
 	findings := examined.Findings()
 	if examined.Complete() {
 		audited := auditor.New(d.options...).Audit(examined.Generation(), examined.Items())
 		findings = append(findings, examined.LocateAll(audited)...)
 	}
 	auditor.Sort(findings)
-	report := &configReport{File: file, Findings: []listedFinding{}, Changes: []listedChange{}}
+	report := &configReport{File: examined.File(), Findings: []listedFinding{}, Changes: []listedChange{}}
 	for _, f := range findings {
 		report.addFinding(f)
 	}
--- a/internal/commander/checkconfig_test.go
+++ b/internal/commander/checkconfig_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"go.yaml.in/yaml/v3"
 
 	"magnoliahill.example/magnoliahill/internal/commander"
@@ -72,6 +74,30 @@
 	}
 }
 
+// The same as an operator runs it: the program as it is built for use, from its start to
+// its end.
+func TestCheckLargeConfigAsBuilt(t *testing.T) {
+	is := is.New(t)
+	program := filepath.Join(t.TempDir(), "magnoliahill")
+	built, err := exec.Command("go", "build", "-o", program, "../../cmd/magnoliahill").CombinedOutput()
+	if err != nil {
+		t.Fatalf("building failed: %v\n%s", err, built)
+	}
+	inForce := writeFile(t, "inforce.json", largeConfig("4"))
+	for _, timeout := range []string{"3", `"3"`} {
+		config := writeFile(t, "config.json", largeConfig(timeout))
+		startedAt := time.Now()
+		out, err := exec.Command(program, "check", "--platform-config", config, "--in-force", inForce).Output()
+		elapsed := time.Since(startedAt)
+		t.Logf("checked in %v elapsed", elapsed)
+		var exit *exec.ExitError
+		is.True(errors.As(err, &exit))
+		is.Equal(exit.ExitCode(), int(commander.ExitFailed))
+		is.Equal(strings.Count(string(out), "TimeoutS: "), 1600)
+		is.True(elapsed < time.Second)
+	}
+}
+
 // checkLargeConfig returns the elapsed time and the processor time of one check.
 func checkLargeConfig(t *testing.T, timeout string) (elapsed, worked time.Duration) {
 	config := writeFile(t, "config.json", largeConfig(timeout))
