gossiper, messenger: tell what was asked and refused by priority

Load records list for each service the priorities with the requests asked for, refused and late, per host and summed by zone, as demand is (Origin, fields 5 to 8). An absent list means what older builds mean: nothing was counted. A host that knows of priority 0 only sends none.

--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -248,6 +248,7 @@
 		wire.Regions = append(wire.Regions, region)
 		wire.Bound = append(wire.Bound, uint32(bound))
 	}
+	encodePriorities(wire, load.Priorities)
 	return wire
 }
 
@@ -260,6 +261,7 @@
 				load.Bound[region] = int(w.GetBound()[i])
 			}
 		}
+		load.Priorities = decodePriorities(w)
 		loads[w.GetService()] = load
 	}
 	return loads
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -16,6 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"magnoliahill.example/magnoliahill/pkg/prioritizer"
 	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
 
@@ -59,6 +60,8 @@
 type ServiceLoad struct {
 	Free  int            // may run in any region
 	Bound map[uint32]int // must run in one region, by the hash of the region's name
+	// Latest requests by priority; empty if the senders know of priority 0 only.
+	Priorities map[int]prioritizer.Counts
 }
 
 // LoadRecord is the load of a host, of a zone, or of all other zones together.
@@ -292,10 +295,31 @@
 		for region, count := range load.Bound {
 			sum.Bound[region] += count
 		}
+		for priority, counts := range load.Priorities {
+			if sum.Priorities == nil {
+				sum.Priorities = map[int]prioritizer.Counts{}
+			}
+			sum.Priorities[priority] = sum.Priorities[priority].Add(counts)
+		}
 	}
 	return sum
 }
 
+// PriorityReports returns what the other hosts of the own zone and the other zones
+// counted by priority, by the hash of the service's name.
+func (g *Gossiper) PriorityReports(now time.Duration) map[uint32][]prioritizer.Report {
+	all := map[uint32][]prioritizer.Report{}
+	for _, stored := range g.records {
+		age := now - stored.receivedAt
+		for service, load := range stored.record.Services {
+			if age < recordTTL && len(load.Priorities) > 0 {
+				all[service] = append(all[service], prioritizer.Report{Counts: load.Priorities, Age: age})
+			}
+		}
+	}
+	return all
+}
+
 // busiest limits a load to the backend servers with the most requests in flight,
 // so that its record fits into a datagram.
 func busiest(l Load) Load {
