placer: keep less urgent requests from the queues of urgent ones

The bound of pkg/prioritizer applies where a request is declined anyway: as the longest wait, and on large fleets as the load from which a server declines.

--- a/pkg/placer/average.go
+++ b/pkg/placer/average.go
@@ -44,8 +44,13 @@
 // this kind. When it declines declineShare of them, a request waits as long as
 // its latency goal allows.
 func (c *choice) declineLoad(s *server) float64 {
+	return min(c.ownDeclineLoad(c.distance(s)), c.limit)
+}
+
+// ownDeclineLoad is the same by the request itself, at a server at a distance.
+func (c *choice) ownDeclineLoad(distance time.Duration) float64 {
 	run := c.runTimes.expected(true)
-	maxWait := max(c.query.Goal-run-c.distance(s), time.Duration(maxLateWait*float64(c.query.Goal)))
+	maxWait := max(c.query.Goal-run-distance, time.Duration(maxLateWait*float64(c.query.Goal)))
 	load := 1 + float64(maxWait)/float64(max(run, time.Millisecond)) - declineShare*declineRange
 	return min(max(load, minDeclineLoad), maxDeclineLoad)
 }
--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -34,6 +34,8 @@
 	wait        time.Duration // expected wait before the run
 	knownWarm   bool          // this host saw the server handle the object recently
 	regionBound bool          // the request may run in certain regions only
+	priority    int           // of the request
+	goal        time.Duration // of the request
 	rank        int           // position in the object's order; 0 is first
 	load        float64       // estimated requests at the server when it was chosen
 }
@@ -85,6 +87,8 @@
 	now      time.Duration
 	query    Query
 	runTimes *runTimes
+	limit    float64 // longest queue in requests per slot that the request may join by its priority; infinite for any
+	ownLimit float64 // the same by itself
 }
 
 // candidate is a server with the expected cost of sending the request there.
@@ -323,6 +327,9 @@
 	if c.placer.averaging() {
 		return 0 // declines keeps queues short
 	}
+	if yield := c.yieldWait(found); yield > 0 {
+		return yield
+	}
 	onTime := found.wait+found.run+c.distance(found.server) <= c.query.Goal
 	maxWait := time.Duration(maxLateWait * float64(c.query.Goal))
 	if onTime || found.wait <= maxWait {
@@ -341,7 +348,7 @@
 	pick := Pick{
 		server: s, seq: c.placer.pickCount, id: s.ID(), address: s.Address(), runName: s.Run(), region: s.region, object: key, runTimes: c.runTimes, knownWarm: s.warm(c.now, key),
 		began: c.now, run: found.run, wait: found.wait, rank: found.rank, load: load,
-		regionBound: c.query.AllowedRegions != nil,
+		regionBound: c.query.AllowedRegions != nil, priority: c.query.Priority, goal: c.query.Goal,
 	}
 	s.openAttempts = append(s.openAttempts, openAttempt{pick: pick, dueRatio: overdueRatio})
 	return pick
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"magnoliahill.example/magnoliahill/pkg/prioritizer"
 	"magnoliahill.example/magnoliahill/pkg/registrar"
 )
 
@@ -34,6 +35,7 @@
 	Service        string
 	Route          string        // requests of one route take about the same time
 	Object         string        // object that the request is about; empty if unknown
+	Priority       int           // 0 is the most urgent
 	Goal           time.Duration // latency up to which the answer has its full value
 	TimeLeft       time.Duration // time until the caller gives up
 	AllowedRegions []string      // regions in which the request may run; nil allows all
@@ -80,6 +82,8 @@
 	pickCount   uint64          // number of picks made
 	draw        func() float64  // random numbers in [0, 1)
 	shiftCap    float64         // share of a region's requests that may move to another region within two seconds
+
+	priorities map[string]*prioritizer.Prioritizer // by service
 }
 
 // Option sets a property of a placer.
@@ -116,6 +120,7 @@
 		coldLimiter: coldLimiter{factor: 1},
 		shiftCap:    1,
 		draw:        rand.Float64,
+		priorities:  map[string]*prioritizer.Prioritizer{},
 	}
 	for _, option := range options {
 		option(p)
@@ -234,11 +239,13 @@
 		return Pick{}, NoServer, noServerRetryDelay
 	}
 	c := &choice{placer: p, pool: pool, now: now, query: q, runTimes: p.routeRunTimes(q)}
+	c.ask()
 	best, found, excess := c.best()
 	switch {
 	case found:
 		return c.reserve(best), Chosen, 0
 	case excess > 0:
+		c.refuse()
 		return Pick{}, NoRoom, min(excess, maxRetryDelay)
 	}
 	return Pick{}, NoServer, c.retryDelay()
@@ -259,6 +266,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pick.server.done(now, pick, outcome, load)
+	p.countOutcome(now, pick, outcome)
 	if load.RetryAfter > 0 {
 		pick.server.pause(now, load.RetryAfter, p.self)
 	}
--- a/pkg/placer/stalefailures_test.go
+++ b/pkg/placer/stalefailures_test.go
@@ -23,6 +23,7 @@
 	liar         string        // server that always reports lies
 	lies         placer.Load   // running and waiting requests
 	silentFrom   time.Duration // no host hears of others from then on; 0 for never
+	diesAt       time.Duration // the first host ends then; 0 for never
 	emptySince   time.Duration // the liar is idle since then
 	fullSince    time.Duration // the queue of the liar is full since then
 	longestEmpty time.Duration // of the liar
