controller, dispatcher: apply and publish priorities

The dispatcher gives the placer the request's priority, the workspace's own one before the route's. The controller exchanges the counts with the load records, updates the gauges priority_margin, priority_relief and urgent_refused_share and the counter requests_yielded, and logs that a service's less urgent requests give way, or no longer, with what that follows from.

--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -70,7 +70,7 @@
 	if len(recipients) == 0 {
 		return
 	}
-	load := l.localLoad()
+	load := l.localLoad(now)
 	messages := map[recipientClass]*peerv1.Greeting{}
 	for _, recipient := range recipients {
 		class := recipientClass{recipient.OtherZone, strings.Join(recipient.FullZones, ",")}
--- a/internal/controller/health.go
+++ b/internal/controller/health.go
@@ -38,6 +38,7 @@
 		scope.Tagged(map[string]string{"kind": kind}).Gauge("store_revision").Update(float64(cache.position.Revision()))
 	}
 	l.updateServiceLoads(now)
+	l.updatePriorities(now)
 	l.updateSlotMismatches(now, all)
 	for cause, count := range l.controller.roundTripper.DialCounts() {
 		scope.Tagged(map[string]string{"cause": cause}).Gauge("backend_connections_opened").Update(float64(count))
--- a/internal/controller/loads.go
+++ b/internal/controller/loads.go
@@ -9,7 +9,7 @@
 
 // localLoad returns the recent request rates by limit and the running requests of
 // this host.
-func (l *loop) localLoad() gossiper.Load {
+func (l *loop) localLoad(now time.Duration) gossiper.Load {
 	demand := l.controller.allocator.Demand()
 	running := l.controller.placer.Running()
 	load := gossiper.Load{Demands: make(map[uint32]float64, len(demand)), Running: make(map[uint32]int, len(running))}
@@ -20,6 +20,12 @@
 		load.Running[gossiper.NameHash(id)] = count
 	}
 	load.Services = encodeDemand(l.controller.placer.Demand())
+	for service, counts := range l.controller.placer.PriorityCounts(now) {
+		hash := gossiper.NameHash(service)
+		serviceLoad := load.Services[hash]
+		serviceLoad.Priorities = counts
+		load.Services[hash] = serviceLoad
+	}
 	return load
 }
 
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -55,11 +55,12 @@
 	caches              map[string]*objectCache // by kind
 	config              activeConfig
 	evacuatedZones      []string
-	limited             map[string]float64    // request limits of backend servers at the last check, by id
-	leaving             []string              // ids of backend servers that left by their answers at the last check
-	impaired            map[string]bool       // ids of backend servers that were impaired at the last check
-	serviceRooms        map[string]roomChange // by service; services that always had room are left out
-	slotMismatches      string                // backend servers whose reported slots differ from the registered ones, as last logged
+	limited             map[string]float64        // request limits of backend servers at the last check, by id
+	leaving             []string                  // ids of backend servers that left by their answers at the last check
+	impaired            map[string]bool           // ids of backend servers that were impaired at the last check
+	priorityChanges     map[string]priorityChange // by service; services that never gave way are left out
+	serviceRooms        map[string]roomChange     // by service; services that always had room are left out
+	slotMismatches      string                    // backend servers whose reported slots differ from the registered ones, as last logged
 	mismatchesLoggedAt  time.Duration
 	serverIDs           map[uint32]string // ids of backend servers by their number in gossip messages
 	serverRuns          map[uint32]string // the same by the number of their present run
@@ -108,8 +109,9 @@
 		caches:      map[string]*objectCache{},
 		hostCount:   c.settings.ExpectedHosts,
 
-		peerSuspects: map[string]uint64{},
-		serviceRooms: map[string]roomChange{},
+		peerSuspects:    map[string]uint64{},
+		serviceRooms:    map[string]roomChange{},
+		priorityChanges: map[string]priorityChange{},
 	}
 	l.gossiper = gossiper.New(c.settings.Host, c.settings.Zone, l.tracker, c.settings.Seeds,
 		gossiper.WithRegions(c.settings.Regions))
@@ -344,6 +346,7 @@
 	})
 	l.controller.placer.SetRemoteRunning(now, l.remoteRunning(reported))
 	l.controller.placer.SetDemand(now, l.regionDemand(now))
+	l.controller.placer.SetPriorityReports(now, l.priorityReports(now))
 	l.controller.charger.SetHosts(owners)
 	l.updateRelays(live)
 	l.controller.updateLookups(live)
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -136,6 +136,17 @@
 	return common
 }
 
+// priority returns the priority of the request: the workspace's own one takes precedence
+// over that of the route.
+func (c *call) priority() int {
+	if c.workspace != nil {
+		if own, ok := c.workspace.Priority(); ok {
+			return own
+		}
+	}
+	return c.route.Priority()
+}
+
 // attempt sends the request to one backend server. It returns the response, or a
 // refusal, or true if another attempt is to be made.
 func (c *call) attempt(ctx context.Context) (*roundtripper.Response, *admitter.Refusal, bool) {
@@ -156,7 +167,7 @@
 		return nil, c.timedOutOrCanceled(ctx), false
 	}
 	pick, verdict, wait := c.dispatcher.placer.Choose(now, placer.Query{
-		Service: c.service, Route: c.route.Name(), Object: c.affinityObject(), Goal: c.route.LatencyGoal(),
+		Service: c.service, Route: c.route.Name(), Object: c.affinityObject(), Priority: c.priority(), Goal: c.route.LatencyGoal(),
 		TimeLeft: left, AllowedRegions: c.allowedRegions(), Attempted: c.triedIDs,
 	})
 	if verdict != placer.Chosen {
