placer: leave requests that do not yield to their own limit

Cause: on a small fleet the bound also held a request whose priority did not shorten its queue, at servers of other regions less the way there, where the request itself would have accepted a longer wait; and with no bound the wait was compared with 1000 requests per slot.

--- a/pkg/placer/priority.go
+++ b/pkg/placer/priority.go
@@ -93,12 +93,12 @@
 }
 
 // yieldWait returns by how much the candidate's queue is longer than the request may
-// join by its priority, or 0. Of a free slot it may
-// make use at any time.
+// join by its priority, or 0. It may use a free slot at any time.
 func (c *choice) yieldWait(found candidate) time.Duration {
+	if c.limit >= c.ownLimit {
+		return 0
+	}
 	perRequest := found.server.slowness(c.now) * float64(c.runTimes.expected(true))
-	maxWait := max(0, time.Duration(min(c.limit, maxQueue)*perRequest)-c.distance(found.server))
+	maxWait := max(0, time.Duration(c.limit*perRequest)-c.distance(found.server))
 	return max(0, found.wait-maxWait)
 }
-
-const maxQueue = 1000.0 // requests per slot; keeps products of an infinite limit in range
