allocator: bound the tokens with which hosts begin without the owner of a pooled limit

When the owners die, each host admits a request at once: 94 for a limit with a burst of 14. Test: the scenarios of owners that die in testdata/fleets.yaml, with charges that take time (charges_test.go). Mend: the tokens at the first charge of an outage are spread by a hash of host and limit, so that the hosts together begin with 0.3 of the burst, as they have 0.3 of the rate, and the others get their first token one after another. Hosts that are starting had none and have none. Ruled out: fallback buckets that begin empty; at 0.045 requests a second and host most callers would be refused for the whole outage. The simulation gets deaths of hosts and delays of charges; the scenarios so far play as before, except that the demand of a host is read once for each round.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -29,7 +29,6 @@
 	idleDemandFraction = 0.02                   // added to the demand of each live host, as a fraction of its even rate; the weight of an idle host
 	propagationRounds  = 3                      // rounds until all hosts have received a demand: up to two hosts relay it
 	minBurstPerHost    = 4.0                    // requests; a limit with a smaller burst per host is pooled
-	fallbackFraction   = 0.3                    // fraction of its even rate that a host admits while the owner of a pooled limit is unavailable
 	initialFill        = 0.25                   // fraction of the burst that a host starts with; an earlier process may have spent the rest
 )
 
@@ -47,7 +46,7 @@
 type localShare struct {
 	limit         Limit
 	bucket        *limiter.Bucket            // the host's share, or the group's share if the limit is pooled
-	fallback      *limiter.Bucket            // for a pooled limit while its owner is unavailable
+	fallback      fallback                   // for a pooled limit while its owner is unavailable
 	requests      int                        // requests since the last sample
 	demand        float64                    // requests a second, a moving average
 	demandHistory [propagationRounds]float64 // demand in the latest rounds, oldest first
@@ -56,6 +55,7 @@
 
 // Allocator holds one host's shares of all limits. It is safe for concurrent use.
 type Allocator struct {
+	host       string // this host's name; "" in tests of one host
 	mu         sync.Mutex
 	shares     map[string]*localShare // by name of the limit
 	hosts      int                    // expected hosts, reachable or not; at least 1
@@ -68,8 +68,21 @@
 // New creates the shares of one host, without limits at first. hosts is the
 // number of expected hosts, this one included; the shares of all of them add
 // up to (1+overage) times each limit.
-func New(hosts int, overage float64) *Allocator {
-	return &Allocator{shares: map[string]*localShare{}, hosts: max(hosts, 1), poolHosts: 1, liveHosts: 1, overage: overage}
+func New(hosts int, overage float64, options ...Option) *Allocator {
+	a := &Allocator{shares: map[string]*localShare{}, hosts: max(hosts, 1), poolHosts: 1, liveHosts: 1, overage: overage}
+	for _, option := range options {
+		option(a)
+	}
+	return a
+}
+
+// Option sets one property of an allocator.
+type Option func(*Allocator)
+
+// WithHost sets the name of this host, by which the hosts differ in when they admit requests
+// without the owner of a pooled limit.
+func WithHost(name string) Option {
+	return func(a *Allocator) { a.host = name }
 }
 
 // SetLimits replaces the limits. The shares of limits that stay keep their
@@ -181,13 +194,7 @@
 	} else if s.bucket.Amount() != amount {
 		s.bucket = limiter.NewBucket(amount, s.bucket.Tokens(now), now)
 	}
-	fallback := limiter.Amount{
-		Rate:     int64(fallbackFraction * s.limit.Rate / float64(a.hosts) * float64(limiter.Unit)),
-		Capacity: limiter.Unit,
-	}
-	if s.fallback == nil || s.fallback.Amount() != fallback {
-		s.fallback = limiter.NewBucket(fallback, 0, now)
-	}
+	a.resizeFallback(now, s)
 }
 
 // Take charges one request to the share of a limit. If the share is used up, it
@@ -201,7 +208,7 @@
 		return true, 0
 	}
 	s.requests++
-	return take(now, s.bucket)
+	return take(now, s.bucket, 0)
 }
 
 // TakeForOther charges one request of another host, like Take. A limit that is unknown
@@ -214,30 +221,17 @@
 		return false, 0, ErrUnknownLimit
 	}
 	s.requests++
-	ok, wait := take(now, s.bucket)
+	ok, wait := take(now, s.bucket, 0)
 	return ok, wait, nil
 }
 
-// TakeFallback charges one request to the fallback bucket of a pooled limit. It
-// is used while the owner of the limit is unavailable, and returns the same
-// values as Take.
-func (a *Allocator) TakeFallback(now time.Duration, name string) (bool, time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	s := a.shares[name]
-	if s == nil {
-		return true, 0
-	}
-	return take(now, s.fallback)
-}
-
-// take removes the token of one request from a bucket. It returns one second as
-// the wait when the bucket can never hold a token.
-func take(now time.Duration, bucket *limiter.Bucket) (bool, time.Duration) {
-	if bucket.Take(now, limiter.Unit) {
+// take removes the token of one request from a bucket that holds it beyond the reserved token
+// units. It returns one second as the wait when the bucket can never hold that many.
+func take(now time.Duration, bucket *limiter.Bucket, reserved int64) (bool, time.Duration) {
+	if bucket.Tokens(now) >= reserved+limiter.Unit && bucket.Take(now, limiter.Unit) {
 		return true, 0
 	}
-	wait, ok := bucket.Wait(now, limiter.Unit)
+	wait, ok := bucket.Wait(now, reserved+limiter.Unit)
 	if !ok {
 		wait = time.Second
 	}
--- a/pkg/allocator/fleet_test.go
+++ b/pkg/allocator/fleet_test.go
@@ -35,9 +35,10 @@
 	Seconds float64
 	Seeds   int
 	MaxLost float64 `yaml:"max-lost"` // fraction of the requests that may be refused; 0 sets no bound
+	Charges *charges // at other hosts; nil takes no time and follows no deaths
 	Events  []struct {
 		At    float64
-		Kind  string // demand, move, restart, cut, heal
+		Kind  string // demand, limit, move, restart, cut, heal, die
 		Value float64
 		Share float64 // fraction of the hosts, counted from the first one
 	}
@@ -49,11 +50,16 @@
 }
 
 type host struct {
+	name      string
 	allocator *allocator.Allocator
 	zone      int
 	weight    float64 // this host receives weight/total of the demand
 	cutOff    bool
+	dead      bool
+	changedAt time.Duration // when it was last cut off, connected again, or died
 	reports   map[int]demandReport
+
+	unavailableUntil map[*host]time.Duration // owners that did not answer
 }
 
 type message struct {
@@ -72,6 +78,8 @@
 	admitted []time.Duration
 	requests []time.Duration
 	refused  int
+	calls    []call // charges under way
+	waited   int    // requests that waited for the answer to a charge
 }
 
 func newFleet(s scenario, seed uint64) *fleet {
@@ -80,7 +88,7 @@
 		s.Zones = s.Hosts
 	}
 	for i := range s.Hosts {
-		f.hosts = append(f.hosts, &host{weight: 1, zone: i % s.Zones, reports: map[int]demandReport{}})
+		f.hosts = append(f.hosts, &host{name: fmt.Sprint("h", i), weight: 1, zone: i % s.Zones, changedAt: -expiresAfter, reports: map[int]demandReport{}})
 	}
 	f.scenario = s
 	for _, h := range f.hosts {
@@ -90,9 +98,10 @@
 }
 
 func (f *fleet) start(h *host, now time.Duration) {
-	h.allocator = allocator.New(f.scenario.Hosts, overage/2)
+	h.allocator = allocator.New(f.scenario.Hosts, overage/2, allocator.WithHost(h.name))
 	h.allocator.SetLimits(now, []allocator.Limit{{Name: "w", Rate: f.scenario.Rate, Burst: f.scenario.Burst}})
 	h.reports = map[int]demandReport{}
+	h.unavailableUntil = map[*host]time.Duration{}
 }
 
 func (f *fleet) play() {
@@ -105,9 +114,10 @@
 			next++
 		}
 		f.deliver(now)
+		f.runCalls(now)
 		f.sendRequests(now)
 		for i, h := range f.hosts {
-			if now%gossipInterval == time.Duration(i)*step%gossipInterval {
+			if !h.dead && now%gossipInterval == time.Duration(i)*step%gossipInterval {
 				f.gossip(now, i, h)
 			}
 		}
@@ -132,9 +142,13 @@
 		case "restart":
 			f.start(h, now)
 		case "cut":
-			h.cutOff = true
+			h.cutOff, h.changedAt = true, now
 		case "heal":
-			h.cutOff = false
+			h.cutOff, h.changedAt = false, now
+		case "die":
+			if !h.dead {
+				h.dead, h.weight, h.changedAt = true, 0, now
+			}
 		}
 	}
 }
@@ -165,10 +179,10 @@
 				break
 			}
 			f.requests = append(f.requests, now)
-			if f.charge(now, h) {
-				f.admitted = append(f.admitted, now)
+			if f.scenario.Charges != nil {
+				f.request(now, h)
 			} else {
-				f.refused++
+				f.finish(now, f.charge(now, h))
 			}
 		}
 	}
@@ -206,7 +220,7 @@
 	}
 	poolHosts := 0
 	for _, other := range f.hosts {
-		if other.zone == h.zone {
+		if f.scenario.Charges == nil && other.zone == h.zone || f.scenario.Charges != nil && f.inGroup(now, h, other) {
 			poolHosts++
 		}
 	}
@@ -249,15 +263,17 @@
 		t.Run(s.Name, func(t *testing.T) {
 			is := is.New(t)
 			bound := (s.Rate*window.Seconds()+s.Burst)*(1+overage) + slack
-			worst, requests, refused := 0, 0, 0
+			worst, requests, refused, waited := 0, 0, 0, 0
 			for seed := range uint64(s.Seeds) {
 				f := newFleet(s, seed)
 				f.play()
 				worst = max(worst, f.maxPerWindow())
 				requests += len(f.requests)
 				refused += f.refused
+				waited += f.waited
 			}
-			t.Log(fmt.Sprintf("most in a window %d, bound %.0f, refused %.4f", worst, bound, float64(refused)/float64(requests)))
+			t.Log(fmt.Sprintf("most in a window %d, bound %.0f, refused %.4f, waited %.4f", worst, bound,
+				float64(refused)/float64(requests), float64(waited)/float64(requests)))
 			is.True(float64(worst) <= bound)
 			if s.MaxLost > 0 {
 				is.True(float64(refused) <= s.MaxLost*float64(requests))
--- a/pkg/limiter/bucket.go
+++ b/pkg/limiter/bucket.go
@@ -54,7 +54,7 @@
 // at most rate*t + capacity. It is not safe for concurrent use.
 type Bucket struct {
 	amount Amount
-	tokens int64 // between 0 and amount.Capacity
+	tokens int64 // at most amount.Capacity; below 0 only after Charge
 	last   time.Duration
 }
 
@@ -84,6 +84,13 @@
 	return true
 }
 
+// Charge removes n token units, also those that the bucket does not hold yet. Later
+// refills make up for them.
+func (b *Bucket) Charge(now time.Duration, n int64) {
+	b.refill(now)
+	b.tokens -= n
+}
+
 // Withdraw removes a share of the rate and capacity from the bucket, with at most
 // the given token units. It returns the token units that were removed with it:
 // never more than the bucket holds or the capacity of the share.
