allocator, charger: admit requests of pooled limits ahead of their charges

The owner grants advances: permission to one host to admit one more request of the limit before it charges it. The owner counts those that were not charged yet; half of the platform's slack or reserved tokens cover them, so that the bound does not depend on when charges arrive. A charge in the background that finds no token is a debt of the bucket; one that fails is a debt of the host's fallback bucket. At most 64 at once, 0.5 s each, not ended by the caller. Dispatcher: the rate is charged at the present time, not at that of the request's head, which may be seconds ago if its body was slow, so that no advance is used after its end.

--- a/internal/charger/charger_test.go
+++ b/internal/charger/charger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,20 +17,23 @@
 
 // zone holds the hosts of one zone; their charges are function calls.
 type zone struct {
+	mu      sync.Mutex
 	shares  map[string]*allocator.Allocator
 	cutOff  map[string]bool
 	charges int
 }
 
-func (z *zone) Charge(ctx context.Context, control, limit string) (bool, time.Duration, error) {
+func (z *zone) Charge(ctx context.Context, control string, charge allocator.Charge) (allocator.Answer, error) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
 	z.charges++
 	if ctx.Err() != nil {
-		return false, 0, ctx.Err()
+		return allocator.Answer{}, ctx.Err()
 	}
 	if z.cutOff[control] {
-		return false, 0, errors.New("cut off")
+		return allocator.Answer{}, errors.New("cut off")
 	}
-	return z.shares[control].TakeForOther(time.Minute, limit)
+	return z.shares[control].TakeForOther(time.Minute, charge)
 }
 
 func newZone(n int) (*zone, map[string]*charger.Charger) {
--- a/internal/controller/charge_test.go
+++ b/internal/controller/charge_test.go
@@ -24,8 +24,8 @@
 	m := messenger.New()
 	defer m.Close()
 	charge := func() (bool, error) {
-		ok, _, err := m.Charge(t.Context(), server.Listener.Addr().String(), "w")
-		return ok, err
+		answer, err := m.Charge(t.Context(), server.Listener.Addr().String(), allocator.Charge{Limit: "w", Advances: true})
+		return answer.Allowed, err
 	}
 	ok, err := charge()
 	is.True(!ok)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -139,8 +139,9 @@
 	c.recorder = recorder.New(recorder.NewTimeLine(settings.Host, hybridClock))
 	c.placer = placer.New(settings.Host, placer.Location{Zone: settings.Zone, Region: settings.Region},
 		settings.Regions, placer.WithColdLimit(settings.ColdRateFactor, settings.ColdRateSlack), placer.WithShiftCap(settings.MaxRegionShift))
-	c.allocator = allocator.New(settings.ExpectedHosts, settings.RateOverage*usedOverageShare)
-	c.charger = charger.New(settings.Host, c.allocator, c.messenger)
+	c.allocator = allocator.New(settings.ExpectedHosts, settings.RateOverage*usedOverageShare,
+		allocator.WithHost(settings.Host), allocator.WithSlack(settings.RateSlack*usedSlackShare))
+	c.charger = charger.New(settings.Host, c.allocator, c.messenger, charger.WithScope(c.recorder.Scope()))
 	c.quarantine = quarantiner.New(func() { c.loop.notifySuspects() })
 	chart := transitioner.MustLoad("reach")
 	c.reach = reacher.New(chart, string(chart.Initial()))
@@ -161,6 +162,7 @@
 
 const (
 	usedOverageShare      = 0.5 // of the allowed rate overage; the rest covers hosts whose views of the others differ
+	usedSlackShare        = 0.5 // of the allowed rate slack
 	idleDescriptorDivisor = 4   // one idle backend connection per this many file descriptors; callers need most of them
 	usedRetryShare        = 0.6 // of the retry budget
 	maxIdleRelays         = 128 // idle connections to hosts that requests are relayed to
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -227,11 +227,11 @@
 // up, it returns the wait until the next request in milliseconds. The error is of code
 // not_found if this host does not know the limit, or not yet.
 func (p *peerService) Charge(_ context.Context, req *connect.Request[peerv1.ChargeRequest]) (*connect.Response[peerv1.ChargeResponse], error) {
-	allowed, wait, err := p.controller.allocator.TakeForOther(p.controller.clock.Now(), req.Msg.GetLimit())
+	answer, err := p.controller.allocator.TakeForOther(p.controller.clock.Now(), messenger.DecodeCharge(req.Msg))
 	if err != nil {
 		return nil, connect.NewError(connect.CodeNotFound, err)
 	}
-	return connect.NewResponse(&peerv1.ChargeResponse{Allowed: allowed, Wait: uint32(wait.Milliseconds())}), nil
+	return connect.NewResponse(messenger.EncodeChargeAnswer(answer)), nil
 }
 
 // objectsQuery is a request of another host for objects after the known positions.
--- a/internal/controller/stop.go
+++ b/internal/controller/stop.go
@@ -73,6 +73,7 @@
 			_ = server.Close() // the grace period of the platform is over
 		}
 	}
+	c.charger.Close()
 	_ = c.udp.Close()
 	c.roundTripper.Close()
 	c.recorder.Close()
--- a/internal/dispatcher/admission.go
+++ b/internal/dispatcher/admission.go
@@ -78,7 +78,7 @@
 	if c.workspace == nil || c.workspace.Rate() <= 0 {
 		return nil
 	}
-	ok, wait := c.dispatcher.rateLimiter.Take(c.r.Context(), c.startedAt, c.workspace.Name())
+	ok, wait := c.dispatcher.rateLimiter.Take(c.r.Context(), c.dispatcher.clock.Now(), c.workspace.Name())
 	if ok {
 		return nil
 	}
--- a/internal/loader/deployment.go
+++ b/internal/loader/deployment.go
@@ -28,6 +28,7 @@
 	RetryBudgetRatio float64       // limit on the retries of a service, as a share of its requests
 	RetryBudgetExtra float64       // retries allowed beyond that share in a window, over all hosts
 	RateOverage      float64       // share by which the admitted requests may exceed a workspace's rate and burst
+	RateSlack        float64       // requests by which they may exceed it beside that, in any window
 	ColdRateFactor   float64       // the bound on requests to a cold backend server is its cold rate times this
 	ColdRateSlack    float64       // requests per second added to that bound
 	MaxRegionShift   float64       // limit on the share of a region's requests that may change region at once
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -11,7 +11,6 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
-	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1/peerv1connect"
 	"magnoliahill.example/magnoliahill/pkg/allocator"
 )
@@ -90,18 +89,17 @@
 	return client
 }
 
-// Charge charges one request to a limit at the host that owns it. When the limit is
-// used up, wait is the time until it allows another request. The error is
+// Charge charges one request to a limit at the host that owns it. The error is
 // allocator.ErrUnknownLimit if that host does not know the limit.
-func (m *Messenger) Charge(ctx context.Context, control, limit string) (allowed bool, wait time.Duration, err error) {
-	resp, err := m.Peer(control).Charge(ctx, connect.NewRequest(&peerv1.ChargeRequest{Limit: limit}))
+func (m *Messenger) Charge(ctx context.Context, control string, charge allocator.Charge) (allocator.Answer, error) {
+	resp, err := m.Peer(control).Charge(ctx, connect.NewRequest(EncodeCharge(charge)))
 	if connect.CodeOf(err) == connect.CodeNotFound {
 		err = allocator.ErrUnknownLimit
 	}
 	if err != nil {
-		return false, 0, errors.Wrapf(err, "charging limit %s at %s", limit, control)
+		return allocator.Answer{}, errors.Wrapf(err, "charging limit %s at %s", charge.Limit, control)
 	}
-	return resp.Msg.GetAllowed(), time.Duration(resp.Msg.GetWait()) * time.Millisecond, nil
+	return DecodeChargeAnswer(resp.Msg), nil
 }
 
 // Operator returns the client of the operator service at a host's control address.
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -32,6 +32,8 @@
 	initialFill        = 0.25                   // fraction of the burst that a host starts with; an earlier process may have spent the rest
 )
 
+const unit = limiter.Unit // token units of one request
+
 // ErrUnknownLimit is the error of a charge for another host to a limit that is not set.
 var ErrUnknownLimit = errors.New("unknown limit")
 
@@ -51,6 +53,8 @@
 	demand        float64                    // requests a second, a moving average
 	demandHistory [propagationRounds]float64 // demand in the latest rounds, oldest first
 	otherDemand   float64                    // requests a second reported by the other live hosts
+	granted       []time.Duration            // at the owner: when the advances end that were not charged yet, earliest first
+	held          heldAdvances               // at the other hosts
 }
 
 // Allocator holds one host's shares of all limits. It is safe for concurrent use.
@@ -63,6 +67,7 @@
 	liveHosts  int                    // live hosts, this one included; 1 to hosts
 	lastSample time.Duration
 	overage    float64 // fraction by which the sum of all shares may exceed each limit
+	slack      float64 // requests by which all hosts together may exceed a limit in any window
 }
 
 // New creates the shares of one host, without limits at first. hosts is the
@@ -85,6 +90,12 @@
 	return func(a *Allocator) { a.host = name }
 }
 
+// WithSlack sets the requests by which all hosts together may exceed each limit in any window,
+// beside the overage. They let hosts of pooled limits use advances without reserved tokens.
+func WithSlack(requests float64) Option {
+	return func(a *Allocator) { a.slack = requests }
+}
+
 // SetLimits replaces the limits. The shares of limits that stay keep their
 // tokens, up to the new capacity.
 func (a *Allocator) SetLimits(now time.Duration, limits []Limit) {
@@ -96,6 +107,9 @@
 		if s == nil {
 			s = &localShare{}
 		}
+		if s.limit != limit {
+			s.granted, s.held = nil, heldAdvances{}
+		}
 		s.limit = limit
 		a.resize(now, s)
 		shares[limit.Name] = s
@@ -186,8 +200,8 @@
 func (a *Allocator) resize(now time.Duration, s *localShare) {
 	fraction := a.fraction(s) * (1 + a.overage)
 	amount := limiter.Amount{
-		Rate:     int64(fraction * s.limit.Rate * float64(limiter.Unit)),
-		Capacity: max(int64(fraction*s.limit.Burst*float64(limiter.Unit)), limiter.Unit),
+		Rate:     int64(fraction * s.limit.Rate * float64(unit)),
+		Capacity: max(int64(fraction*s.limit.Burst*float64(unit)), unit),
 	}
 	if s.bucket == nil {
 		s.bucket = limiter.NewBucket(amount, int64(initialFill*float64(amount.Capacity)), now)
@@ -208,30 +222,17 @@
 		return true, 0
 	}
 	s.requests++
-	return take(now, s.bucket, 0)
-}
-
-// TakeForOther charges one request of another host, like Take. A limit that is unknown
-// here has no tokens for others: this host may have started a moment ago.
-func (a *Allocator) TakeForOther(now time.Duration, name string) (bool, time.Duration, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	s := a.shares[name]
-	if s == nil {
-		return false, 0, ErrUnknownLimit
-	}
-	s.requests++
-	ok, wait := take(now, s.bucket, 0)
-	return ok, wait, nil
+	s.expireGranted(now)
+	return take(now, s.bucket, a.reserved(s, len(s.granted)))
 }
 
 // take removes the token of one request from a bucket that holds it beyond the reserved token
 // units. It returns one second as the wait when the bucket can never hold that many.
 func take(now time.Duration, bucket *limiter.Bucket, reserved int64) (bool, time.Duration) {
-	if bucket.Tokens(now) >= reserved+limiter.Unit && bucket.Take(now, limiter.Unit) {
+	if bucket.Tokens(now) >= reserved+unit && bucket.Take(now, unit) {
 		return true, 0
 	}
-	wait, ok := bucket.Wait(now, reserved+limiter.Unit)
+	wait, ok := bucket.Wait(now, reserved+unit)
 	if !ok {
 		wait = time.Second
 	}
@@ -243,7 +244,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if s := a.shares[name]; s != nil {
-		s.bucket.Refund(now, limiter.Unit)
+		s.bucket.Refund(now, unit)
 	}
 }
 
--- a/pkg/allocator/charges_test.go
+++ b/pkg/allocator/charges_test.go
@@ -3,13 +3,17 @@
 import (
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"magnoliahill.example/magnoliahill/pkg/allocator"
 )
 
 const (
-	chargeTimeout  = 150 * time.Millisecond // a caller waits this long for a charge
-	unavailableFor = time.Second            // after a failed charge
+	chargeTimeout  = 150 * time.Millisecond  // a caller waits this long for a charge
+	unavailableFor = time.Second             // after a failed charge
+	applyWithin    = 2500 * time.Millisecond // a lower limit binds one window after this time
+	callerStays    = 4 * time.Second         // at a host, on average
 )
 
 var errNoAnswer = errors.New("no answer")
@@ -20,6 +24,7 @@
 	Slow    float64 // longest round trip
 	Stalled float64 // fraction of the charges that take between Fast and Slow
 	Lost    float64 // fraction of the charges that are lost on their way or on the way back
+	Old     bool    // the hosts use no advances
 }
 
 // call is a step of a charge that is under way.
@@ -38,20 +43,61 @@
 	case now < h.unavailableUntil[owner]:
 		ok, _ := h.allocator.TakeFallback(now, "w")
 		f.finish(now, ok)
+	case h.allocator.UseAdvance(now, "w", owner.name):
+		f.finish(now, true)
+		charge := allocator.Charge{Limit: "w", Advances: true, Advanced: true}
+		f.send(now, h, owner, allocator.AdvanceChargeTimeout, charge, func(finished time.Duration, answer allocator.Answer, err error) {
+			if f.answered(now, finished, h, owner, answer, err) {
+				return
+			}
+			h.allocator.ChargeFallback(finished, "w")
+		})
 	default:
 		f.waited++
-		f.send(now, h, owner, chargeTimeout, func(now time.Duration, ok bool, err error) {
-			if err != nil {
-				h.unavailableUntil[owner] = now + unavailableFor
-				ok, _ = h.allocator.TakeFallback(now, "w")
-			} else {
-				h.allocator.OwnerAnswered("w")
+		charge := allocator.Charge{Limit: "w", Advances: !f.scenario.Charges.Old}
+		f.send(now, h, owner, chargeTimeout, charge, func(finished time.Duration, answer allocator.Answer, err error) {
+			ok := answer.Allowed
+			if !f.answered(now, finished, h, owner, answer, err) {
+				ok, _ = h.allocator.TakeFallback(finished, "w")
 			}
-			f.finish(now, ok)
+			f.finish(finished, ok)
 		})
 	}
 }
 
+// answered applies the answer to a charge that was sent at the given time, and reports whether
+// there was one.
+func (f *fleet) answered(sent, now time.Duration, h, owner *host, answer allocator.Answer, err error) bool {
+	if err != nil {
+		h.unavailableUntil[owner] = now + unavailableFor
+		h.allocator.ForgetAdvances(owner.name)
+		return false
+	}
+	h.allocator.OwnerAnswered("w")
+	if answer.Advance > 0 {
+		h.allocator.HoldAdvance(now, "w", owner.name, sent+answer.Advance)
+	}
+	return true
+}
+
+// sendFromCallers sends the requests of callers, each of which keeps to one host for
+// callerStays on average.
+func (f *fleet) sendFromCallers(now time.Duration) {
+	if f.callers == nil {
+		f.callers = make([]*host, f.scenario.Callers)
+	}
+	for i, h := range f.callers {
+		for h == nil || h.dead || f.rng.Float64() < float64(step)/float64(callerStays) {
+			h = f.hosts[f.rng.IntN(len(f.hosts))]
+		}
+		f.callers[i] = h
+		for n := f.demand * step.Seconds() / float64(len(f.callers)); n > 0 && f.rng.Float64() < n; n-- {
+			f.requests = append(f.requests, now)
+			f.request(now, h)
+		}
+	}
+}
+
 // owner returns the first host of the group, as this host knows it.
 func (f *fleet) owner(now time.Duration, h *host) *host {
 	for _, other := range f.hosts {
@@ -71,7 +117,7 @@
 
 // send charges a request at the owner and calls done with the answer, or with an error at the
 // timeout.
-func (f *fleet) send(now time.Duration, h, owner *host, timeout time.Duration, done func(time.Duration, bool, error)) {
+func (f *fleet) send(now time.Duration, h, owner *host, timeout time.Duration, charge allocator.Charge, done func(time.Duration, allocator.Answer, error)) {
 	c := f.scenario.Charges
 	took := c.Fast * (1 + f.rng.Float64())
 	if f.rng.Float64() < c.Stalled {
@@ -80,18 +126,18 @@
 	lost := f.rng.Float64() < c.Lost
 	lostBack := f.rng.Float64() < 0.5
 	way := time.Duration(took / 2 * float64(time.Second))
-	fail := func(now time.Duration) { done(now, false, errNoAnswer) }
+	fail := func(now time.Duration) { done(now, allocator.Answer{}, errNoAnswer) }
 	f.later(now+way, func(arrived time.Duration) {
 		if owner.dead || owner.cutOff != h.cutOff || lost && !lostBack {
 			f.later(now+timeout, fail)
 			return
 		}
-		ok, _, err := owner.allocator.TakeForOther(arrived, "w")
+		answer, err := owner.allocator.TakeForOther(arrived, charge)
 		if lost || 2*way > timeout {
 			f.later(now+timeout, fail)
 			return
 		}
-		f.later(now+2*way, func(now time.Duration) { done(now, ok, err) })
+		f.later(now+2*way, func(now time.Duration) { done(now, answer, err) })
 	})
 }
 
@@ -119,3 +165,36 @@
 		f.refused++
 	}
 }
+
+// checkLowered checks the bound of the last limit that was set.
+func (f *fleet) checkLowered(is *is.I) {
+	is.Helper()
+	for _, e := range f.scenario.Events {
+		if e.Kind != "limit" {
+			continue
+		}
+		from := time.Duration(e.At*float64(time.Second)) + applyWithin + window
+		after := fleet{}
+		for _, at := range f.admitted {
+			if at >= from {
+				after.admitted = append(after.admitted, at)
+			}
+		}
+		is.True(float64(after.maxPerWindow()) <= (e.Value*window.Seconds()+e.Value)*(1+overage)+slack)
+	}
+}
+
+// refusedWithoutAdvances returns the refusals of a scenario if the hosts always wait for
+// their charges.
+func refusedWithoutAdvances(s scenario) int {
+	waiting := *s.Charges
+	waiting.Old = true
+	s.Charges = &waiting
+	refused := 0
+	for seed := range uint64(s.Seeds) {
+		f := newFleet(s, seed)
+		f.play()
+		refused += f.refused
+	}
+	return refused
+}
--- a/pkg/allocator/fallback.go
+++ b/pkg/allocator/fallback.go
@@ -21,8 +21,8 @@
 // resizeFallback sets the rate of the fallback bucket, which starts empty.
 func (a *Allocator) resizeFallback(now time.Duration, s *localShare) {
 	amount := limiter.Amount{
-		Rate:     int64(fallbackFraction * s.limit.Rate / float64(a.hosts) * float64(limiter.Unit)),
-		Capacity: limiter.Unit,
+		Rate:     int64(fallbackFraction * s.limit.Rate / float64(a.hosts) * float64(unit)),
+		Capacity: unit,
 	}
 	if s.fallback.bucket == nil {
 		s.fallback.bucket = limiter.NewBucket(amount, 0, now)
@@ -38,7 +38,7 @@
 // get theirs one after another.
 func (a *Allocator) fallbackStart(s *localShare) int64 {
 	phase := float64(xxhash.Sum64String(a.host+"\x00"+s.limit.Name)>>11) / (1 << 53)
-	return int64((phase + fallbackFraction*s.limit.Burst/float64(a.hosts)) * float64(limiter.Unit))
+	return int64((phase + fallbackFraction*s.limit.Burst/float64(a.hosts)) * float64(unit))
 }
 
 // beginFallback limits the tokens at the first charge of an outage.
@@ -70,7 +70,7 @@
 	defer a.mu.Unlock()
 	if s := a.shares[name]; s != nil {
 		a.beginFallback(now, s)
-		s.fallback.bucket.Charge(now, limiter.Unit)
+		s.fallback.bucket.Charge(now, unit)
 	}
 }
 
--- a/pkg/allocator/fleet_test.go
+++ b/pkg/allocator/fleet_test.go
@@ -34,9 +34,12 @@
 	Burst   float64
 	Seconds float64
 	Seeds   int
-	MaxLost float64 `yaml:"max-lost"` // fraction of the requests that may be refused; 0 sets no bound
+	MaxLost float64  `yaml:"max-lost"` // fraction of the requests that may be refused; 0 sets no bound
 	Charges *charges // at other hosts; nil takes no time and follows no deaths
-	Events  []struct {
+	// NoMoreRefused compares with hosts that always wait for their charges.
+	NoMoreRefused bool `yaml:"no-more-refused"`
+	Callers       int  // that keep to one host for a while; 0 sends each request to a random host
+	Events        []struct {
 		At    float64
 		Kind  string // demand, limit, move, restart, cut, heal, die
 		Value float64
@@ -79,7 +82,8 @@
 	requests []time.Duration
 	refused  int
 	calls    []call // charges under way
-	waited   int    // requests that waited for the answer to a charge
+	callers  []*host
+	waited   int // requests that waited for the answer to a charge
 }
 
 func newFleet(s scenario, seed uint64) *fleet {
@@ -98,7 +102,7 @@
 }
 
 func (f *fleet) start(h *host, now time.Duration) {
-	h.allocator = allocator.New(f.scenario.Hosts, overage/2, allocator.WithHost(h.name))
+	h.allocator = allocator.New(f.scenario.Hosts, overage/2, allocator.WithHost(h.name), allocator.WithSlack(slack/2))
 	h.allocator.SetLimits(now, []allocator.Limit{{Name: "w", Rate: f.scenario.Rate, Burst: f.scenario.Burst}})
 	h.reports = map[int]demandReport{}
 	h.unavailableUntil = map[*host]time.Duration{}
@@ -168,6 +172,10 @@
 }
 
 func (f *fleet) sendRequests(now time.Duration) {
+	if f.scenario.Callers > 0 {
+		f.sendFromCallers(now)
+		return
+	}
 	total := 0.0
 	for _, h := range f.hosts {
 		total += h.weight
@@ -227,10 +235,11 @@
 	h.allocator.SetFleet(now, allocator.Fleet{
 		Hosts: len(f.hosts), PoolHosts: poolHosts, Live: liveHosts, OtherDemand: map[string]float64{"w": otherDemand},
 	})
+	demand := h.allocator.Demand()["w"]
 	for to := range f.hosts {
 		if to != i && f.rng.Float64() > 0.02 {
 			due := now + time.Duration(f.rng.Float64()*float64(maxRelayDelay))
-			f.inFlight = append(f.inFlight, message{due: due, from: i, to: to, demand: h.allocator.Demand()["w"]})
+			f.inFlight = append(f.inFlight, message{due: due, from: i, to: to, demand: demand})
 		}
 	}
 }
@@ -268,10 +277,14 @@
 				f := newFleet(s, seed)
 				f.play()
 				worst = max(worst, f.maxPerWindow())
+				f.checkLowered(is)
 				requests += len(f.requests)
 				refused += f.refused
 				waited += f.waited
 			}
+			if s.NoMoreRefused {
+				is.True(refused <= refusedWithoutAdvances(s))
+			}
 			t.Log(fmt.Sprintf("most in a window %d, bound %.0f, refused %.4f, waited %.4f", worst, bound,
 				float64(refused)/float64(requests), float64(waited)/float64(requests)))
 			is.True(float64(worst) <= bound)
