allocator: let a new owner of a pooled limit begin with a quarter of its burst

Cause: every host holds a bucket for its group's share, full while another host is the owner. When owners die or hosts are cut off from them, the next owner admits a whole burst beside what the one before it has spent. Other hosts charge at the new owner before it knows. Mend: a host that does not own a pooled limit holds no more than the quarter that a host starts with. Elections look for the first host only (tracker.First), since a change of hosts now elects the owners of all pooled limits.

--- a/internal/charger/charger.go
+++ b/internal/charger/charger.go
@@ -95,7 +95,12 @@
 	if slices.EqualFunc(c.view.Load().hosts, hosts, same) {
 		return
 	}
-	c.view.Store(&groupView{hosts: hosts, owners: map[string]tracker.Host{}})
+	view := &groupView{hosts: hosts, owners: map[string]tracker.Host{}}
+	c.view.Store(view)
+	c.shares.SetOwnership(func(limit string) bool {
+		owner, ok := view.owner(limit)
+		return !ok || owner.ID.Name == c.self
+	})
 }
 
 // owner returns the host that owns the group's share of a limit, and false if the
@@ -108,7 +113,7 @@
 	defer v.mu.Unlock()
 	owner, ok := v.owners[limit]
 	if !ok {
-		owner = tracker.Rank(rolePrefix+limit, v.hosts)[0]
+		owner = tracker.First(rolePrefix+limit, v.hosts)
 		v.owners[limit] = owner
 	}
 	return owner, true
--- a/pkg/allocator/advances.go
+++ b/pkg/allocator/advances.go
@@ -47,6 +47,7 @@
 	}
 	s.requests++
 	s.expireGranted(now)
+	a.capUnowned(now, s)
 	answer := Answer{Allowed: true}
 	if c.Advanced {
 		s.bucket.Charge(now, unit)
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -66,15 +66,17 @@
 	poolHosts  int                    // live hosts of this host's group, this one included; 1 to hosts
 	liveHosts  int                    // live hosts, this one included; 1 to hosts
 	lastSample time.Duration
-	overage    float64 // fraction by which the sum of all shares may exceed each limit
-	slack      float64 // requests by which all hosts together may exceed a limit in any window
+	updatedAt  time.Duration          // of the counts of hosts
+	owns       func(name string) bool // see SetOwnership
+	overage    float64                // fraction by which the sum of all shares may exceed each limit
+	slack      float64                // requests by which all hosts together may exceed a limit in any window
 }
 
 // New creates the shares of one host, without limits at first. hosts is the
 // number of expected hosts, this one included; the shares of all of them add
 // up to (1+overage) times each limit.
 func New(hosts int, overage float64, options ...Option) *Allocator {
-	a := &Allocator{shares: map[string]*localShare{}, hosts: max(hosts, 1), poolHosts: 1, liveHosts: 1, overage: overage}
+	a := &Allocator{shares: map[string]*localShare{}, hosts: max(hosts, 1), poolHosts: 1, liveHosts: 1, overage: overage, owns: func(string) bool { return true }}
 	for _, option := range options {
 		option(a)
 	}
@@ -134,6 +136,7 @@
 	a.hosts = max(others.Hosts, liveHosts, 1)
 	a.poolHosts = max(1, min(others.PoolHosts, a.hosts))
 	a.liveHosts = max(liveHosts, 1)
+	a.updatedAt = now
 	span := now - a.lastSample
 	for name, s := range a.shares {
 		if span >= minSampleInterval {
@@ -223,6 +226,7 @@
 	}
 	s.requests++
 	s.expireGranted(now)
+	a.capUnowned(now, s)
 	return take(now, s.bucket, a.reserved(s, len(s.granted)))
 }
 
--- a/pkg/allocator/fleet_test.go
+++ b/pkg/allocator/fleet_test.go
@@ -235,6 +235,10 @@
 	h.allocator.SetFleet(now, allocator.Fleet{
 		Hosts: len(f.hosts), PoolHosts: poolHosts, Live: liveHosts, OtherDemand: map[string]float64{"w": otherDemand},
 	})
+	if f.scenario.Charges != nil {
+		owns := f.owner(now, h) == h
+		h.allocator.SetOwnership(func(string) bool { return owns })
+	}
 	demand := h.allocator.Demand()["w"]
 	for to := range f.hosts {
 		if to != i && f.rng.Float64() > 0.02 {
--- a/pkg/tracker/role.go
+++ b/pkg/tracker/role.go
@@ -21,6 +21,17 @@
 	return ranked
 }
 
+// First returns the first host of a ranking. There must be one.
+func First(role string, hosts []Host) Host {
+	first, highest := hosts[0], weight(role, hosts[0].ID.Name)
+	for _, host := range hosts[1:] {
+		if w := weight(role, host.ID.Name); w > highest || w == highest && host.ID.Name < first.ID.Name {
+			first, highest = host, w
+		}
+	}
+	return first
+}
+
 // Elected reports whether a host has a role, as one of the first n in its ranking.
 // Hosts may see different members, so a role must be safe when more or fewer than
 // n hosts assume that they have it.
