--- a/internal/controller/discovery_test.go
+++ b/internal/controller/discovery_test.go
@@ -39,7 +39,7 @@
 func (idlePlatform) EncodeLookup([]string, time.Duration) ([]byte, error) { return nil, nil }
 
 // newTestLoop returns the loop of a host that is not running.
-func newTestLoop(t *testing.T, name string) *loop {
+func newTestLoop(t testing.TB, name string) *loop {
 	c := New(&loader.Deployment{Host: name, Zone: "z", Region: "r", Regions: map[string]string{"z": "r"}, ExpectedHosts: 1, MaxDescriptors: 100}, idlePlatform{})
 	udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
