tracker, gossiper: work out live hosts, ranks and look-up answers when they change

Every message and every recipient made the host list all live hosts, hash them zone by zone and rank its zone anew (43% of the bytes allocated by the control loop were Tracker.Live), and each half second all look-up answers were sorted and encoded although no host had changed. The tracker now keeps what follows from the heartbeats without their counters with a version that rises when a host appears, falls silent or reports something else; roles, recipients, relays and look-up answers are made again when it rises. What a message says is the same.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -68,6 +68,8 @@
 	registeredHosts     []gossiper.RegisteredHost // registered hosts except this one
 	hostCount           int                       // hosts that share the limits, this one included
 	hostNames           []string                  // their names, sorted; nil before they were first counted
+	appliedHosts        uint64                    // version of the tracker whose live hosts are applied; 0 if none are
+	limitOwnerCount     int                       // live hosts that share pooled limits
 	gossipedAt          time.Duration
 	deferred            []gossiper.Recipient // recipients of the gossip round that get their messages later
 	sliceSize           int                  // recipients that get their messages at once
@@ -328,22 +330,33 @@
 }
 
 // applyPeerState applies the state that other hosts reported: the shares of the
-// limits, the load of backend servers, and the hosts in look-up answers.
+// limits, the load of backend servers, and what depends on the live hosts.
 func (l *loop) applyPeerState(now time.Duration) {
+	l.applyLiveHosts(now)
+	reported := l.gossiper.OtherLoad(now)
+	l.controller.allocator.SetFleet(now, allocator.Fleet{
+		Hosts: l.hostCount, PoolHosts: l.limitOwnerCount, Live: l.tracker.LiveCount(now), OtherDemand: l.remoteDemand(reported),
+	})
+	l.controller.placer.SetRemoteRunning(now, l.remoteRunning(reported))
+	l.controller.placer.SetDemand(now, l.regionDemand(now))
+}
+
+// applyLiveHosts applies the live hosts and their states, if these have changed.
+func (l *loop) applyLiveHosts(now time.Duration) {
+	version := l.tracker.Version(now)
+	if version == l.appliedHosts {
+		return
+	}
+	l.appliedHosts = version
 	l.countHosts(now)
 	live := l.tracker.Live(now)
-	reported := l.gossiper.OtherLoad(now)
 	for kind, f := range l.followers {
 		if kind != l.kinds.Hosts && kind != l.kinds.Quarantines { // hosts learn of these from one another, so they keep the longest watches
 			f.SetWatcherCount(watcherCount(live))
 		}
 	}
 	owners := l.limitOwners(live)
-	l.controller.allocator.SetFleet(now, allocator.Fleet{
-		Hosts: l.hostCount, PoolHosts: len(owners), Live: len(live), OtherDemand: l.remoteDemand(reported),
-	})
-	l.controller.placer.SetRemoteRunning(now, l.remoteRunning(reported))
-	l.controller.placer.SetDemand(now, l.regionDemand(now))
+	l.limitOwnerCount = len(owners)
 	l.controller.charger.SetHosts(owners)
 	l.updateRelays(live)
 	l.controller.updateLookups(live)
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -91,6 +91,9 @@
 	records          map[string]storedRecord
 	rounds           int // rounds started
 	round            healthRound
+	fleet            fleetView
+	registrations    uint64          // number of times that the registered hosts were replaced
+	forgottenAt      uint64          // version of the tracker at which unknown hosts were last forgotten
 	storeUnreachable map[string]bool // hosts that cannot reach the store, by name
 }
 
@@ -130,6 +133,7 @@
 	for _, host := range hosts {
 		g.registered[host.Name] = host
 	}
+	g.registrations++
 }
 
 // Apply stores the membership digests and the load records of a gossip message
@@ -154,7 +158,7 @@
 // first of the candidates that can reach the store, or the first of all when
 // none can.
 func (g *Gossiper) WatchesStore(now time.Duration) bool {
-	ranked := tracker.Rank(zoneRole, g.liveInZone(now))
+	ranked := g.view(now).ranked
 	for _, host := range ranked[:min(watchCandidates, len(ranked))] {
 		if !g.storeUnreachable[host.ID.Name] {
 			return host.ID.Name == g.self
@@ -172,16 +176,6 @@
 	}
 }
 
-func (g *Gossiper) liveInZone(now time.Duration) []tracker.Host {
-	var own []tracker.Host
-	for _, host := range g.tracker.Live(now) {
-		if host.Zone == g.zone {
-			own = append(own, host)
-		}
-	}
-	return own
-}
-
 // LoadRecords returns the load records to send. Other zones get the sum of the own
 // zone. Hosts of the own zone get the load of this host. If it is a relay, they
 // also get the services of each other zone, and one record with the demand and the
@@ -281,7 +275,15 @@
 		l.Running[hash] += running
 	}
 	for hash, load := range other.Services {
-		l.Services[hash] = l.Services[hash].Add(load)
+		sum, ok := l.Services[hash]
+		if !ok {
+			sum.Bound = make(map[uint32]int, len(load.Bound))
+		}
+		sum.Free += load.Free
+		for region, count := range load.Bound {
+			sum.Bound[region] += count
+		}
+		l.Services[hash] = sum
 	}
 }
 
--- a/pkg/gossiper/membership.go
+++ b/pkg/gossiper/membership.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -43,25 +44,23 @@
 
 // forgetUnknown drops the state kept for hosts that the tracker no longer knows.
 func (g *Gossiper) forgetUnknown(now time.Duration) {
-	known := map[string]bool{}
-	for _, host := range g.tracker.Known(now) {
-		known[host.ID.Name] = true
-	}
-	for name := range g.digests {
-		if !known[name] {
-			delete(g.digests, name)
-		}
-	}
 	for name, at := range g.isolated {
-		if !known[name] || now-at >= isolatedTTL {
+		if now-at >= isolatedTTL {
 			delete(g.isolated, name)
 		}
 	}
-	for name := range g.storeUnreachable {
-		if !known[name] && name != g.self {
-			delete(g.storeUnreachable, name)
-		}
+	version := g.tracker.Version(now)
+	if version == g.forgottenAt {
+		return
+	}
+	g.forgottenAt = version
+	known := map[string]bool{}
+	for _, host := range g.tracker.Known(now) {
+		known[host.ID.Name] = true
 	}
+	maps.DeleteFunc(g.digests, func(name string, _ Digests) bool { return !known[name] })
+	maps.DeleteFunc(g.isolated, func(name string, _ time.Duration) bool { return !known[name] })
+	maps.DeleteFunc(g.storeUnreachable, func(name string, _ bool) bool { return !known[name] && name != g.self })
 }
 
 // differing returns those of the zones in which a host's view of the live hosts
--- a/pkg/gossiper/recipients.go
+++ b/pkg/gossiper/recipients.go
@@ -9,26 +9,6 @@
 	"magnoliahill.example/magnoliahill/pkg/tracker"
 )
 
-// otherHosts returns all other hosts by zone. In each zone, hosts whose heartbeats
-// were received come before those that are only registered.
-func (g *Gossiper) otherHosts(now time.Duration) map[string][]tracker.Host {
-	hosts := g.tracker.Known(now)
-	seen := map[string]bool{g.self: true}
-	byZone := map[string][]tracker.Host{}
-	for _, host := range hosts {
-		seen[host.ID.Name] = true
-		byZone[host.Zone] = append(byZone[host.Zone], host)
-	}
-	for _, host := range g.registered {
-		if seen[host.Name] {
-			continue
-		}
-		heartbeat := tracker.Heartbeat{ID: tracker.HostID{Name: host.Name}, Zone: host.Zone, Control: host.Control, Data: host.Data}
-		byZone[host.Zone] = append(byZone[host.Zone], tracker.Host{Heartbeat: heartbeat, HeartbeatAge: now})
-	}
-	return byZone
-}
-
 // Recipients returns the hosts to send gossip to when the state of this host has
 // changed, ordered by address. The seeds are included while there is no other
 // recipient or no other live host.
@@ -39,16 +19,13 @@
 func (g *Gossiper) RoundRecipients(now time.Duration) []Recipient { return g.recipients(now, true) }
 
 func (g *Gossiper) recipients(now time.Duration, dueOnly bool) []Recipient {
-	byZone := g.otherHosts(now)
-	digests := g.tracker.ZoneDigests(now)
-	live := g.liveNames(now)
-	role := g.relayRole(now)
-	recipients := g.zoneRecipients(byZone[g.zone], digests, role)
-	for zone, hosts := range byZone {
-		if zone == g.zone || role.rank < 0 || dueOnly && !g.due(zone, role) {
+	fleet, digests := g.view(now), g.tracker.ZoneDigests(now)
+	role := fleet.role
+	recipients := g.zoneRecipients(fleet.others[g.zone], digests, role)
+	for zone, relays := range fleet.relays {
+		if role.rank < 0 || dueOnly && !g.due(zone, role) {
 			continue
 		}
-		relays := relaysAmong(hosts, live)
 		for _, index := range g.partners(role) {
 			if index < len(relays) {
 				recipient := g.otherZoneRecipient(relays[index], digests)
@@ -57,8 +34,8 @@
 			}
 		}
 	}
-	recipients = append(recipients, g.isolatedRecipients(byZone, digests)...)
-	if len(recipients) == 0 || len(live) == 1 {
+	recipients = append(recipients, g.isolatedRecipients(fleet.others, digests)...)
+	if len(recipients) == 0 || g.tracker.LiveCount(now) == 1 {
 		for _, seed := range g.seeds {
 			recipients = append(recipients, Recipient{Control: seed, OtherZone: true, FullZones: []string{g.zone}})
 		}
@@ -94,6 +71,9 @@
 // isolatedRecipients returns the isolated hosts of other zones, which get the
 // complete heartbeats of their own zone.
 func (g *Gossiper) isolatedRecipients(byZone map[string][]tracker.Host, digests map[string]uint32) []Recipient {
+	if len(g.isolated) == 0 {
+		return nil
+	}
 	var recipients []Recipient
 	for zone, hosts := range byZone {
 		for _, host := range hosts {
@@ -139,16 +119,7 @@
 	return !g.byTurns() || g.regions[zone] == g.regions[g.zone] || g.rounds%role.count == role.rank
 }
 
-func (g *Gossiper) relayRole(now time.Duration) relayRole {
-	ranked := tracker.Rank(zoneRole, g.liveInZone(now))
-	role := relayRole{rank: -1, count: min(relaysPerZone, len(ranked))}
-	for i, host := range ranked[:role.count] {
-		if host.ID.Name == g.self {
-			role.rank = i
-		}
-	}
-	return role
-}
+func (g *Gossiper) relayRole(now time.Duration) relayRole { return g.view(now).role }
 
 // IsRelay reports whether this host is a relay, which exchanges gossip with other
 // zones.
@@ -165,27 +136,3 @@
 	}
 	return slices.IndexFunc(tracker.Rank(zoneRole, hosts), func(h tracker.Host) bool { return h.ID.Name == g.self })
 }
-
-func (g *Gossiper) liveNames(now time.Duration) map[string]bool {
-	live := map[string]bool{}
-	for _, host := range g.tracker.Live(now) {
-		live[host.ID.Name] = true
-	}
-	return live
-}
-
-// relaysAmong returns the relays of another zone, elected from its live hosts, or
-// from all of its hosts when none is live.
-func relaysAmong(hosts []tracker.Host, live map[string]bool) []tracker.Host {
-	var candidates []tracker.Host
-	for _, host := range hosts {
-		if live[host.ID.Name] {
-			candidates = append(candidates, host)
-		}
-	}
-	if len(candidates) == 0 {
-		candidates = hosts
-	}
-	ranked := tracker.Rank(zoneRole, candidates)
-	return ranked[:min(relaysPerZone, len(ranked))]
-}
--- a/pkg/tracker/compact.go
+++ b/pkg/tracker/compact.go
@@ -20,25 +20,16 @@
 // the same ones and almost never equal on others.
 func (t *Tracker) Digest(now time.Duration) uint64 {
 	digest := t.self.ID.Incarnation
-	for _, e := range t.entries {
-		if t.live(now, e) {
-			digest ^= e.heartbeat.ID.Incarnation
-		}
+	for _, e := range t.current(now).live {
+		digest ^= e.heartbeat.ID.Incarnation
 	}
 	return digest
 }
 
 // ZoneDigests returns a hash of the live incarnations of each availability zone,
-// own host included. Zones without a live host are left out.
-func (t *Tracker) ZoneDigests(now time.Duration) map[string]uint32 {
-	digests := map[string]uint32{t.self.Zone: fold(t.self.ID.Incarnation)}
-	for _, e := range t.entries {
-		if t.live(now, e) {
-			digests[e.heartbeat.Zone] ^= fold(e.heartbeat.ID.Incarnation)
-		}
-	}
-	return digests
-}
+// own host included. Zones without a live host are left out. The result must not be
+// changed.
+func (t *Tracker) ZoneDigests(now time.Duration) map[string]uint32 { return t.current(now).digests }
 
 // fold returns a 32-bit hash of an incarnation.
 func fold(incarnation uint64) uint32 {
@@ -64,9 +55,8 @@
 		if e == nil || update.Counter <= e.heartbeat.Counter {
 			continue
 		}
-		e.heartbeat.Counter = update.Counter
-		e.heartbeat.State = update.State
-		e.heartbeat.CutOff = update.CutOff
-		e.updatedAt = now
+		h := &e.heartbeat
+		t.touch(now, e, update.State != h.State || update.CutOff != h.CutOff)
+		h.Counter, h.State, h.CutOff = update.Counter, update.State, update.CutOff
 	}
 }
--- a/pkg/tracker/host.go
+++ b/pkg/tracker/host.go
@@ -67,6 +67,7 @@
 type entry struct {
 	heartbeat Heartbeat
 	updatedAt time.Duration // when the counter last rose
+	live      bool          // as of the latest view
 }
 
 // Host is the latest heartbeat of a host and its age.
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -16,8 +17,9 @@
 	entries          map[string]*entry
 	byIncarnation    map[uint64]*entry // the same entries
 	sorted           []*entry          // the same entries, ordered by name; nil when it must be rebuilt
-	dead             map[HostID]bool   // incarnations that have certainly ended or given up what they held
-	laterIncarnation uint64            // highest incarnation of the own host above its current one, or 0
+	view             view
+	dead             map[HostID]bool // incarnations that have certainly ended or given up what they held
+	laterIncarnation uint64          // highest incarnation of the own host above its current one, or 0
 }
 
 // Option sets one property of a tracker.
@@ -57,21 +59,19 @@
 }
 
 // SetState sets the state in the heartbeats of the own host.
-func (t *Tracker) SetState(state State) { t.self.State = state }
+func (t *Tracker) SetState(state State) {
+	t.self.State = state
+	t.view.stale = true
+}
 
 // SetCutOff sets in the heartbeats of the own host whether it reaches no backend server.
-func (t *Tracker) SetCutOff(cutOff bool) { t.self.CutOff = cutOff }
+func (t *Tracker) SetCutOff(cutOff bool) {
+	t.self.CutOff = cutOff
+	t.view.stale = true
+}
 
 // CutOffCount returns the number of live hosts that reach no backend server.
-func (t *Tracker) CutOffCount(now time.Duration) int {
-	count := 0
-	for _, host := range t.Live(now) {
-		if host.CutOff {
-			count++
-		}
-	}
-	return count
-}
+func (t *Tracker) CutOffCount(now time.Duration) int { return t.current(now).cutOff }
 
 // Apply merges heartbeats, in any order and any number of times. Those of
 // replaced or dead incarnations are ignored; one of a gone host marks its
@@ -106,6 +106,7 @@
 	if t.laterIncarnation != 0 {
 		t.self.ID.Incarnation = t.laterIncarnation + 1<<randomBits
 		t.laterIncarnation = 0
+		t.view.stale = true
 	}
 }
 
@@ -121,8 +122,9 @@
 	if heartbeat.ID != known.heartbeat.ID || heartbeat.Counter <= known.heartbeat.Counter {
 		return
 	}
+	known.heartbeat.Counter = heartbeat.Counter
+	t.touch(now, known, known.heartbeat != heartbeat)
 	known.heartbeat = heartbeat
-	known.updatedAt = now
 }
 
 // MarkDead records that an incarnation has provably ended or given up everything it
@@ -137,6 +139,7 @@
 // remove removes an entry, or does nothing if it is nil.
 func (t *Tracker) remove(e *entry) {
 	t.sorted = nil
+	t.view.stale = true
 	if e != nil {
 		delete(t.entries, e.heartbeat.ID.Name)
 		delete(t.byIncarnation, e.heartbeat.ID.Incarnation)
@@ -157,11 +160,14 @@
 
 // live reports whether the latest heartbeat of a host is recent.
 func (t *Tracker) live(now time.Duration, e *entry) bool {
-	timeout, ok := t.zoneTimeouts[e.heartbeat.Zone]
-	if !ok {
-		timeout = t.timeout
+	return now-e.updatedAt < t.timeoutOf(e)
+}
+
+func (t *Tracker) timeoutOf(e *entry) time.Duration {
+	if timeout, ok := t.zoneTimeouts[e.heartbeat.Zone]; ok {
+		return timeout
 	}
-	return now-e.updatedAt < timeout
+	return t.timeout
 }
 
 // IsDead reports whether an incarnation has provably ended or given up everything
@@ -181,16 +187,15 @@
 // Live returns the hosts with a recent heartbeat, ordered by name. It includes the
 // own host and leaving hosts.
 func (t *Tracker) Live(now time.Duration) []Host {
-	live := make([]Host, 0, len(t.entries)+1)
+	others := t.current(now).live
+	live := make([]Host, 0, len(others)+1)
 	self := Host{Heartbeat: t.self}
 	selfAdded := false
-	for _, e := range t.byName() {
+	for _, e := range others {
 		if !selfAdded && t.self.ID.Name < e.heartbeat.ID.Name {
 			live, selfAdded = append(live, self), true
 		}
-		if t.live(now, e) {
-			live = append(live, Host{Heartbeat: e.heartbeat, HeartbeatAge: now - e.updatedAt})
-		}
+		live = append(live, Host{Heartbeat: e.heartbeat, HeartbeatAge: now - e.updatedAt})
 	}
 	if !selfAdded {
 		live = append(live, self)
@@ -199,25 +204,18 @@
 }
 
 // LiveCount returns the number of hosts that Live returns.
-func (t *Tracker) LiveCount(now time.Duration) int {
-	count := 1
-	for _, e := range t.entries {
-		if t.live(now, e) {
-			count++
-		}
-	}
-	return count
-}
+func (t *Tracker) LiveCount(now time.Duration) int { return len(t.current(now).live) + 1 }
 
 // Heartbeats returns the next heartbeat of the own host and the latest ones of all
 // other live hosts, to be relayed.
-func (t *Tracker) Heartbeats(now time.Duration) []Heartbeat {
-	heartbeats := make([]Heartbeat, 0, len(t.entries)+1)
-	heartbeats = append(heartbeats, t.NextHeartbeat())
-	for _, e := range t.byName() {
-		if t.live(now, e) {
-			heartbeats = append(heartbeats, e.heartbeat)
-		}
+func (t *Tracker) Heartbeats(now time.Duration) []Heartbeat { return t.AppendHeartbeats(now, nil) }
+
+// AppendHeartbeats appends what Heartbeats returns to a list.
+func (t *Tracker) AppendHeartbeats(now time.Duration, heartbeats []Heartbeat) []Heartbeat {
+	live := t.current(now).live
+	heartbeats = append(slices.Grow(heartbeats, len(live)+1), t.NextHeartbeat())
+	for _, e := range live {
+		heartbeats = append(heartbeats, e.heartbeat)
 	}
 	return heartbeats
 }
