controller, placer: encode what many recipients get once, pass over servers without look-ups

Each gossip message was encoded for its recipient alone, with the same records, heartbeats and health reports; now a slice encodes them once for each class of recipients and appends what is for one of them (the parts of an encoded message may follow one another). Request limits and leaving servers are looked for only while there may be any, and passes over all servers use a list. Messages say the same.

--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -65,32 +65,54 @@
 	l.deferred = nil
 }
 
-// sendMessages sends the current gossip message of this host to each recipient.
+// sendMessages sends the current gossip message of this host to each recipient. What
+// many recipients get is encoded once; the parts of an encoded message may follow one
+// another.
 func (l *loop) sendMessages(now time.Duration, recipients []gossiper.Recipient) {
 	if len(recipients) == 0 {
 		return
 	}
 	load := l.localLoad()
-	messages := map[recipientClass]*peerv1.Greeting{}
+	shared := map[recipientClass][]byte{}
+	var reports [2][]byte // health reports for the own zone and for others
 	for _, recipient := range recipients {
 		class := recipientClass{recipient.OtherZone, strings.Join(recipient.FullZones, ",")}
-		if messages[class] == nil {
-			messages[class] = l.gossipMessage(now, recipient, load)
+		if shared[class] == nil {
+			shared[class] = encodeGossip(nil, l.gossipMessage(now, recipient, load))
 		}
-		messages[class].Digests = messenger.EncodeDigests(l.gossiper.DigestsFor(now, recipient))
-		l.addSuspects(now, messages[class], recipient)
-		messages[class].Evidence = messenger.EncodeHealthReports(l.gossiper.HealthReportsFor(recipient))
-		l.controller.sendDatagram(recipient.Control, messages[class])
+		l.datagram = append(l.datagram[:0], shared[class]...)
+		l.datagram = encodeGossip(l.datagram, l.recipientPart(now, recipient))
+		if evidence := l.gossiper.HealthReportsFor(recipient); len(evidence) > 0 {
+			of := &reports[0]
+			if recipient.OtherZone {
+				of = &reports[1]
+			}
+			if *of == nil {
+				*of = encodeGossip(nil, &peerv1.Greeting{Evidence: messenger.EncodeHealthReports(evidence)})
+			}
+			l.datagram = append(l.datagram, *of...)
+		}
+		l.controller.sendDatagram(recipient.Control, l.datagram)
 	}
 }
 
 // recipientClass is a class of hosts that get the same gossip message at one time,
-// except for its digests and health reports.
+// except for its recipient part and health reports.
 type recipientClass struct {
 	foreign   bool   // in other zones
 	fullZones string // zones whose hosts they may lack
 }
 
+// recipientPart returns the part of a gossip message that is for one recipient alone.
+func (l *loop) recipientPart(now time.Duration, recipient gossiper.Recipient) *peerv1.Greeting {
+	m := &peerv1.Greeting{}
+	if recipient.OtherZone {
+		m.Digests = messenger.EncodeDigests(l.gossiper.DigestsFor(now, recipient))
+	}
+	l.addSuspects(now, m, recipient)
+	return m
+}
+
 // announceChanges sends gossip messages to the hosts of this host's zone at once,
 // so that they fetch changes in the store. It does nothing on hosts that do not
 // watch the store.
@@ -100,7 +122,7 @@
 	}
 	for _, recipient := range l.gossiper.Recipients(now) {
 		if !recipient.OtherZone {
-			l.controller.sendDatagram(recipient.Control, l.announcement(now, recipient))
+			l.controller.sendDatagram(recipient.Control, encodeGossip(nil, l.announcement(now, recipient)))
 		}
 	}
 }
@@ -114,13 +136,17 @@
 	return m
 }
 
-// gossipMessage returns the message for the class of a recipient, without digests
-// and health reports.
+// gossipMessage returns the message for the class of a recipient, without its recipient
+// part and health reports.
 func (l *loop) gossipMessage(now time.Duration, recipient gossiper.Recipient, load gossiper.Load) *peerv1.Greeting {
 	m := l.storeState(now)
 	m.Limits = messenger.EncodeLimits(l.limitReports(now))
 	m.Records = messenger.EncodeLoadRecords(l.gossiper.LoadRecords(now, load, recipient.OtherZone))
-	l.addHeartbeats(now, m, recipient, l.tracker.Heartbeats(now))
+	l.heartbeats = l.tracker.AppendHeartbeats(now, l.heartbeats[:0])
+	l.addHeartbeats(now, m, recipient, l.heartbeats)
+	if !recipient.OtherZone {
+		m.Digests = messenger.EncodeDigests(l.gossiper.DigestsFor(now, recipient))
+	}
 	return m
 }
 
@@ -157,17 +183,26 @@
 	return m
 }
 
-// sendDatagram sends a gossip message to the peer port of the host with the
+// encodeGossip appends an encoded gossip message, or a part of one, to data.
+func encodeGossip(data []byte, m *peerv1.Greeting) []byte {
+	encoded, err := proto.MarshalOptions{}.MarshalAppend(data, m)
+	if err != nil {
+		klog.ErrorS(err, "gossip message not encoded") // texts that are not UTF-8
+		return data
+	}
+	return encoded
+}
+
+// sendDatagram sends an encoded gossip message to the peer port of the host with the
 // given control address. Delivery is not guaranteed.
-func (c *Controller) sendDatagram(control string, m *peerv1.Greeting) {
+func (c *Controller) sendDatagram(control string, data []byte) {
 	address, err := netip.ParseAddrPort(control)
 	if err != nil {
 		klog.InfoS("invalid control address of host", "control", control)
 		return
 	}
-	data, err := proto.Marshal(m)
-	if err != nil || len(data) > maxDatagramBytes {
-		klog.ErrorS(err, "gossip message not sent: not encodable or too large", "bytes", len(data))
+	if len(data) > maxDatagramBytes {
+		klog.ErrorS(nil, "gossip message not sent: too large", "bytes", len(data))
 		return
 	}
 	peer := netip.AddrPortFrom(address.Addr(), uint16(c.settings.PeerPort))
--- /dev/null
+++ b/internal/controller/livehosts.go
@@ -0,0 +1,50 @@
+package controller
+
+import (
+	"time"
+
+	"magnoliahill.example/magnoliahill/pkg/tracker"
+)
+
+// applyLiveHosts applies the live hosts and their states, if these have changed.
+func (l *loop) applyLiveHosts(now time.Duration) {
+	version := l.tracker.Version(now)
+	if version == l.appliedHosts {
+		return
+	}
+	l.appliedHosts = version
+	l.countHosts(now)
+	live := l.tracker.Live(now)
+	for kind, f := range l.followers {
+		if kind != l.kinds.Hosts && kind != l.kinds.Quarantines { // hosts learn of these from one another, so they keep the longest watches
+			f.SetWatcherCount(watcherCount(live))
+		}
+	}
+	owners := l.limitOwners(live)
+	l.limitOwnerCount = len(owners)
+	l.controller.charger.SetHosts(owners)
+	l.updateRelays(live)
+	l.controller.updateLookups(live)
+}
+
+// limitOwners returns the live hosts of this host's region, which share pooled
+// limits: a charge at any of them takes a few milliseconds.
+func (l *loop) limitOwners(live []tracker.Host) []tracker.Host {
+	var own []tracker.Host
+	for _, host := range live {
+		if l.controller.settings.Regions[host.Zone] == l.controller.settings.Region && (host.State == tracker.Serving || host.ID.Name == l.controller.settings.Host) {
+			own = append(own, host)
+		}
+	}
+	return own
+}
+
+// watcherCount returns the number of live hosts that watch the store: one in each
+// zone.
+func watcherCount(live []tracker.Host) int {
+	zones := map[string]bool{}
+	for _, host := range live {
+		zones[host.Zone] = true
+	}
+	return len(zones)
+}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -71,6 +71,8 @@
 	appliedHosts        uint64                    // version of the tracker whose live hosts are applied; 0 if none are
 	limitOwnerCount     int                       // live hosts that share pooled limits
 	gossipedAt          time.Duration
+	heartbeats          []tracker.Heartbeat  // reused for the messages to send
+	datagram            []byte               // the same
 	deferred            []gossiper.Recipient // recipients of the gossip round that get their messages later
 	sliceSize           int                  // recipients that get their messages at once
 	sliceInterval       time.Duration        // between slices of a gossip round
@@ -341,49 +343,6 @@
 	l.controller.placer.SetDemand(now, l.regionDemand(now))
 }
 
-// applyLiveHosts applies the live hosts and their states, if these have changed.
-func (l *loop) applyLiveHosts(now time.Duration) {
-	version := l.tracker.Version(now)
-	if version == l.appliedHosts {
-		return
-	}
-	l.appliedHosts = version
-	l.countHosts(now)
-	live := l.tracker.Live(now)
-	for kind, f := range l.followers {
-		if kind != l.kinds.Hosts && kind != l.kinds.Quarantines { // hosts learn of these from one another, so they keep the longest watches
-			f.SetWatcherCount(watcherCount(live))
-		}
-	}
-	owners := l.limitOwners(live)
-	l.limitOwnerCount = len(owners)
-	l.controller.charger.SetHosts(owners)
-	l.updateRelays(live)
-	l.controller.updateLookups(live)
-}
-
-// limitOwners returns the live hosts of this host's region, which share pooled
-// limits: a charge at any of them takes a few milliseconds.
-func (l *loop) limitOwners(live []tracker.Host) []tracker.Host {
-	var own []tracker.Host
-	for _, host := range live {
-		if l.controller.settings.Regions[host.Zone] == l.controller.settings.Region && (host.State == tracker.Serving || host.ID.Name == l.controller.settings.Host) {
-			own = append(own, host)
-		}
-	}
-	return own
-}
-
-// watcherCount returns the number of live hosts that watch the store: one in each
-// zone.
-func watcherCount(live []tracker.Host) int {
-	zones := map[string]bool{}
-	for _, host := range live {
-		zones[host.Zone] = true
-	}
-	return len(zones)
-}
-
 // settingsChange holds the settings of a changed settings file.
 type settingsChange struct{ settings *loader.Deployment }
 
--- a/internal/controller/suspects.go
+++ b/internal/controller/suspects.go
@@ -74,7 +74,7 @@
 	}
 	l.suspectsAnnouncedAt = now
 	for _, recipient := range l.gossiper.Recipients(now) {
-		l.controller.sendDatagram(recipient.Control, l.announcement(now, recipient))
+		l.controller.sendDatagram(recipient.Control, encodeGossip(nil, l.announcement(now, recipient)))
 	}
 }
 
--- a/pkg/placer/demand.go
+++ b/pkg/placer/demand.go
@@ -27,7 +27,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := map[string]Demand{}
-	for _, s := range p.servers {
+	for _, s := range p.list {
 		for _, attempt := range s.openAttempts {
 			demand, ok := all[s.Service()]
 			if !ok {
--- a/pkg/placer/health.go
+++ b/pkg/placer/health.go
@@ -43,13 +43,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := map[string]HealthReport{}
-	for id, s := range p.servers {
+	for _, s := range p.list {
 		s.observeOverdue(now)
 		if s.pendingReport.Attempts == 0 {
 			continue
 		}
 		s.pendingReport.Impaired = s.slowness(now) > impairedSlowness || s.failureRate(now) > impairedFailureRate
-		all[id] = s.pendingReport
+		all[s.ID()] = s.pendingReport
 		s.pendingReport = HealthReport{}
 	}
 	return all
--- a/pkg/placer/leaving.go
+++ b/pkg/placer/leaving.go
@@ -7,10 +7,15 @@
 func (p *Placer) Leaving() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.leaveKnown {
+		return nil
+	}
+	p.leaveKnown = false
 	var ids []string
-	for id, s := range p.servers {
+	for _, s := range p.list {
+		p.leaveKnown = p.leaveKnown || s.leaving
 		if s.leaving && s.State() == registrar.Ready {
-			ids = append(ids, id)
+			ids = append(ids, s.ID())
 		}
 	}
 	return ids
@@ -24,7 +29,7 @@
 	var added []string
 	for _, id := range ids {
 		if s := p.servers[id]; s != nil && !s.leaving {
-			s.leaving = true
+			s.leaving, p.leaveKnown = true, true
 			added = append(added, id)
 		}
 	}
@@ -37,7 +42,7 @@
 // markLeaving takes a server out of its pool. Requests that it runs are not affected.
 func (p *Placer) markLeaving(s *server) {
 	if !s.leaving {
-		s.leaving = true
+		s.leaving, p.leaveKnown = true, true
 		p.rebuildPools(p.services)
 	}
 }
--- a/pkg/placer/limit.go
+++ b/pkg/placer/limit.go
@@ -128,12 +128,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := map[string]LimitReport{}
-	for id, s := range p.servers {
+	if !p.limitsKnown {
+		return all
+	}
+	for _, s := range p.list {
 		age := now - s.limit.observedAt
 		if s.limit.active(now) || s.limit.observed && !s.limit.limited && age < endedLimitTTL {
-			all[id] = LimitReport{Limited: s.limit.limited, PerSecond: s.limit.perSecond, Age: age}
+			all[s.ID()] = LimitReport{Limited: s.limit.limited, PerSecond: s.limit.perSecond, Age: age}
 		}
 	}
+	p.limitsKnown = len(all) > 0 // a limit that is no longer reported returns only with a new statement
 	return all
 }
 
@@ -145,6 +149,7 @@
 	for id, report := range all {
 		if s := p.servers[id]; s != nil {
 			s.limit.observe(now-report.Age, report.Limited, report.PerSecond)
+			p.limitsKnown = p.limitsKnown || s.limit.observed
 		}
 	}
 }
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -9,7 +9,9 @@
 package placer
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,6 +76,9 @@
 	services    []Service
 	pools       map[string]*pool
 	servers     map[string]*server
+	list        []*server            // the same servers, for what passes over all of them
+	limitsKnown bool                 // some server may have a request limit to report
+	leaveKnown  bool                 // some server may have said that it leaves
 	runTimes    map[string]*runTimes // by route
 	coldLimiter coldLimiter
 	evacuated   map[string]bool // availability zones that receive no requests
@@ -155,6 +160,7 @@
 		servers[r.ID()] = p.serverFor(now, r, service)
 	}
 	p.servers = servers
+	p.list = slices.Collect(maps.Values(servers))
 	p.services = services
 	p.rebuildPools(services)
 }
@@ -259,6 +265,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pick.server.done(now, pick, outcome, load)
+	p.limitsKnown = p.limitsKnown || pick.server.limit.observed
 	if load.RetryAfter > 0 {
 		pick.server.pause(now, load.RetryAfter, p.self)
 	}
@@ -277,9 +284,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	running := map[string]int{}
-	for id, s := range p.servers {
+	for _, s := range p.list {
 		if s.running > 0 {
-			running[id] = s.running
+			running[s.ID()] = s.running
 		}
 	}
 	return running
@@ -290,8 +297,8 @@
 func (p *Placer) SetRemoteRunning(now time.Duration, running map[string]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, s := range p.servers {
-		s.otherRunning = running[id]
+	for _, s := range p.list {
+		s.otherRunning = running[s.ID()]
 	}
 	for _, pool := range p.pools {
 		pool.updateUtilization(now)
@@ -319,7 +326,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := make([]Summary, 0, len(p.servers))
-	for _, s := range p.servers {
+	for _, s := range p.list {
 		all = append(all, Summary{
 			ID: s.ID(), Service: s.Service(), Zone: s.Zone(), Running: s.running,
 			Load: s.load(now), Slowness: s.slowness(now), FailureRate: s.failureRate(now), Ejected: now < s.ejectedUntil,
--- a/pkg/placer/reach.go
+++ b/pkg/placer/reach.go
@@ -77,13 +77,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	silent := map[string]int{}
-	respondedAt := map[string]time.Duration{}
-	for _, s := range p.servers {
-		respondedAt[s.Service()] = max(respondedAt[s.Service()], s.respondedAt)
+	for _, s := range p.list {
 		if len(s.openAttempts) > 0 && now-s.openAttempts[0].pick.began >= silenceAge {
 			silent[s.Service()]++
 		}
 	}
+	if len(silent) == 0 {
+		return nil
+	}
+	respondedAt := map[string]time.Duration{}
+	for _, s := range p.list {
+		respondedAt[s.Service()] = max(respondedAt[s.Service()], s.respondedAt)
+	}
 	var services []string
 	for service, count := range silent {
 		if count >= minSilentCount && now-respondedAt[service] >= silenceTime {
