gossiper, messenger: sort and encode hundreds of entries without look-ups

The busiest servers of a record were sorted by look-ups in a map, compact heartbeats encoded with one allocation each.

--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -69,8 +69,11 @@
 // EncodeCompactHeartbeats converts compact heartbeats to their wire type.
 func EncodeCompactHeartbeats(heartbeats []tracker.CompactHeartbeat) []*peerv1.Pulse {
 	wire := make([]*peerv1.Pulse, 0, len(heartbeats))
-	for _, p := range heartbeats {
-		wire = append(wire, &peerv1.Pulse{Incarnation: p.Incarnation, Counter: p.Counter, State: int32(p.State), CutOff: p.CutOff})
+	pulses := make([]peerv1.Pulse, len(heartbeats)) // hundreds for a relay
+	for i, p := range heartbeats {
+		pulse := &pulses[i]
+		pulse.Incarnation, pulse.Counter, pulse.State, pulse.CutOff = p.Incarnation, p.Counter, int32(p.State), p.CutOff
+		wire = append(wire, pulse)
 	}
 	return wire
 }
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -10,6 +10,8 @@
 package gossiper
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -304,17 +306,18 @@
 	if len(l.Running) <= maxBackendServers {
 		return l
 	}
-	hashes := make([]uint32, 0, len(l.Running))
-	for hash := range l.Running {
-		hashes = append(hashes, hash)
+	type entry struct {
+		hash    uint32
+		running int
 	}
-	sort.Slice(hashes, func(i, j int) bool {
-		a, b := l.Running[hashes[i]], l.Running[hashes[j]]
-		return a > b || a == b && hashes[i] < hashes[j]
-	})
+	entries := make([]entry, 0, len(l.Running))
+	for hash, running := range l.Running {
+		entries = append(entries, entry{hash, running})
+	}
+	slices.SortFunc(entries, func(a, b entry) int { return cmp.Or(cmp.Compare(b.running, a.running), cmp.Compare(a.hash, b.hash)) })
 	kept := make(map[uint32]int, maxBackendServers)
-	for _, hash := range hashes[:maxBackendServers] {
-		kept[hash] = l.Running[hash]
+	for _, e := range entries[:maxBackendServers] {
+		kept[e.hash] = e.running
 	}
 	return Load{Demands: l.Demands, Running: kept, Services: l.Services}
 }
--- a/pkg/gossiper/membership.go
+++ b/pkg/gossiper/membership.go
@@ -83,7 +83,7 @@
 func (g *Gossiper) HeartbeatsFor(now time.Duration, all []tracker.Heartbeat, recipient Recipient) ([]tracker.Heartbeat, []tracker.CompactHeartbeat) {
 	ownZoneOnly := recipient.OtherZone || !g.IsRelay(now)
 	var full []tracker.Heartbeat
-	var compact []tracker.CompactHeartbeat
+	compact := make([]tracker.CompactHeartbeat, 0, len(all))
 	for _, b := range all {
 		switch {
 		case slices.Contains(recipient.FullZones, b.Zone):
