controller: send a message to all slices of a tenth of a second

In a zone of 50 hosts a slice of the gossip round follows every 38 ms, and each summed the zone's loads and encoded the message anew. A message for a class of recipients now serves for 0.1 s; a zone of 16 or fewer has slices further apart and nothing changes there.

--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -17,6 +17,7 @@
 // sendGossip sends gossip messages to all current recipients at once.
 func (l *loop) sendGossip(now time.Duration) {
 	l.deferred = nil
+	clear(l.shared)
 	l.sendMessages(now, l.gossiper.Recipients(now))
 }
 
@@ -24,11 +25,17 @@
 // host sends at once must fit into the queue of its network link.
 const recipientsPerSlice = 4
 
+// sharedAge is the age up to which an encoded message is sent to further recipients of
+// its class: in a large zone slices follow one another faster than what they say changes.
+const sharedAge = 100 * time.Millisecond
+
 // startGossipRound divides the gossip messages that are due into slices, which are
 // sent at equal intervals until the next round.
 func (l *loop) startGossipRound(now time.Duration) {
 	l.sendDeferred(now)
 	l.gossiper.StartRound(now, l.healthReports(now))
+	clear(l.shared)
+	l.sharedReports = [2][]byte{}
 	l.deferred = l.gossiper.RoundRecipients(now)
 	slices := max(2, (len(l.deferred)+recipientsPerSlice-1)/recipientsPerSlice)
 	l.sliceInterval = heartbeatInterval / time.Duration(slices)
@@ -69,28 +76,11 @@
 // many recipients get is encoded once; the parts of an encoded message may follow one
 // another.
 func (l *loop) sendMessages(now time.Duration, recipients []gossiper.Recipient) {
-	if len(recipients) == 0 {
-		return
-	}
-	load := l.localLoad()
-	shared := map[recipientClass][]byte{}
-	var reports [2][]byte // health reports for the own zone and for others
 	for _, recipient := range recipients {
-		class := recipientClass{recipient.OtherZone, strings.Join(recipient.FullZones, ",")}
-		if shared[class] == nil {
-			shared[class] = encodeGossip(nil, l.gossipMessage(now, recipient, load))
-		}
-		l.datagram = append(l.datagram[:0], shared[class]...)
+		l.datagram = append(l.datagram[:0], l.sharedPart(now, recipient)...)
 		l.datagram = encodeGossip(l.datagram, l.recipientPart(now, recipient))
-		if evidence := l.gossiper.HealthReportsFor(recipient); len(evidence) > 0 {
-			of := &reports[0]
-			if recipient.OtherZone {
-				of = &reports[1]
-			}
-			if *of == nil {
-				*of = encodeGossip(nil, &peerv1.Greeting{Evidence: messenger.EncodeHealthReports(evidence)})
-			}
-			l.datagram = append(l.datagram, *of...)
+		if reports := l.gossiper.HealthReportsFor(recipient); len(reports) > 0 {
+			l.datagram = append(l.datagram, l.reportsPart(recipient, reports)...)
 		}
 		l.controller.sendDatagram(recipient.Control, l.datagram)
 	}
@@ -103,6 +93,36 @@
 	fullZones string // zones whose hosts they may lack
 }
 
+// sharedPart is the encoded part of a gossip message for a class of recipients.
+type sharedPart struct {
+	data   []byte
+	madeAt time.Duration
+}
+
+// sharedPart returns the encoded part of a message for all recipients of a class.
+func (l *loop) sharedPart(now time.Duration, recipient gossiper.Recipient) []byte {
+	class := recipientClass{recipient.OtherZone, strings.Join(recipient.FullZones, ",")}
+	part, ok := l.shared[class]
+	if !ok || now-part.madeAt >= sharedAge {
+		part = sharedPart{data: encodeGossip(part.data[:0], l.gossipMessage(now, recipient)), madeAt: now}
+		l.shared[class] = part
+	}
+	return part.data
+}
+
+// reportsPart returns the encoded health reports of the round, which are the same for
+// all hosts of the own zone and for all others that get any.
+func (l *loop) reportsPart(recipient gossiper.Recipient, reports gossiper.HealthReports) []byte {
+	part := &l.sharedReports[0]
+	if recipient.OtherZone {
+		part = &l.sharedReports[1]
+	}
+	if *part == nil {
+		*part = encodeGossip(nil, &peerv1.Greeting{Evidence: messenger.EncodeHealthReports(reports)})
+	}
+	return *part
+}
+
 // recipientPart returns the part of a gossip message that is for one recipient alone.
 func (l *loop) recipientPart(now time.Duration, recipient gossiper.Recipient) *peerv1.Greeting {
 	m := &peerv1.Greeting{}
@@ -138,10 +158,10 @@
 
 // gossipMessage returns the message for the class of a recipient, without its recipient
 // part and health reports.
-func (l *loop) gossipMessage(now time.Duration, recipient gossiper.Recipient, load gossiper.Load) *peerv1.Greeting {
+func (l *loop) gossipMessage(now time.Duration, recipient gossiper.Recipient) *peerv1.Greeting {
 	m := l.storeState(now)
 	m.Limits = messenger.EncodeLimits(l.limitReports(now))
-	m.Records = messenger.EncodeLoadRecords(l.gossiper.LoadRecords(now, load, recipient.OtherZone))
+	m.Records = messenger.EncodeLoadRecords(l.gossiper.LoadRecords(now, l.localLoad(), recipient.OtherZone))
 	l.heartbeats = l.tracker.AppendHeartbeats(now, l.heartbeats[:0])
 	l.addHeartbeats(now, m, recipient, l.heartbeats)
 	if !recipient.OtherZone {
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -71,8 +71,10 @@
 	appliedHosts        uint64                    // version of the tracker whose live hosts are applied; 0 if none are
 	limitOwnerCount     int                       // live hosts that share pooled limits
 	gossipedAt          time.Duration
-	heartbeats          []tracker.Heartbeat  // reused for the messages to send
-	datagram            []byte               // the same
+	heartbeats          []tracker.Heartbeat // reused for the messages to send
+	datagram            []byte              // the same
+	shared              map[recipientClass]sharedPart
+	sharedReports       [2][]byte            // encoded health reports of the round for the own zone and for others; nil until needed
 	deferred            []gossiper.Recipient // recipients of the gossip round that get their messages later
 	sliceSize           int                  // recipients that get their messages at once
 	sliceInterval       time.Duration        // between slices of a gossip round
@@ -112,6 +114,7 @@
 		caches:      map[string]*objectCache{},
 		hostCount:   c.settings.ExpectedHosts,
 
+		shared:       map[recipientClass]sharedPart{},
 		peerSuspects: map[string]uint64{},
 		serviceRooms: map[string]roomChange{},
 	}
--- a/internal/controller/stop.go
+++ b/internal/controller/stop.go
@@ -44,6 +44,7 @@
 	for i := range recipients {
 		recipients[i].FullZones = []string{l.controller.settings.Zone}
 	}
+	clear(l.shared)
 	l.sendMessages(now, recipients)
 	close(m.done)
 }
