--- a/pkg/placer/pool.go
+++ b/pkg/placer/pool.go
@@ -5,8 +5,9 @@
 	"maps"
 	"math"
 	"slices"
-	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -29,6 +30,7 @@
 	split       *regionSplit       // current division of requests among regions
 	orderShares map[string]float64 // region shares that the cached orders were built with
 	orders      map[objectKey]*order
+	scores      []score // reused for new orders
 }
 
 // order lists the servers for an object, best first.
@@ -156,34 +158,42 @@
 // the spare slots of its region, and adding or removing a server does not
 // reorder the others.
 func (p *pool) rankServers(key objectKey) []*server {
-	type scored struct {
-		server   *server
-		hasSpare bool
-		score    float64
-	}
-	list := make([]scored, 0, len(p.servers))
-	for _, s := range p.servers {
-		u := unitFloat(hash(key.route, key.object, s.ID()))
+	p.scores = p.scores[:0]
+	text := append(append(append(append([]byte{}, key.route...), 0), key.object...), 0) // as hash does, for all servers at once
+	prefix := len(text)
+	for i, s := range p.servers {
+		text = append(append(text[:prefix], s.ID()...), 0)
+		u := unitFloat(xxhash.Sum64(text))
 		share := p.orderShares[s.region]
 		weight := float64(s.Slots())
 		if share > 0 {
 			weight *= share / float64(p.regionSlots[s.region])
 		}
-		list = append(list, scored{s, share > 0, -weight / math.Log(u)})
-	}
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].hasSpare != list[j].hasSpare {
-			return list[i].hasSpare
+		p.scores = append(p.scores, score{int32(i), share > 0, -weight / math.Log(u)})
+	}
+	slices.SortFunc(p.scores, func(a, b score) int {
+		if a.hasSpare != b.hasSpare {
+			if a.hasSpare {
+				return -1
+			}
+			return 1
 		}
-		return list[i].score > list[j].score
+		return cmp.Compare(b.value, a.value)
 	})
-	ranked := make([]*server, 0, len(list))
-	for _, entry := range list {
-		ranked = append(ranked, entry.server)
+	ranked := make([]*server, 0, len(p.scores))
+	for _, s := range p.scores {
+		ranked = append(ranked, p.servers[s.index])
 	}
 	return ranked
 }
 
+// score is the place of a server in an order that is being made.
+type score struct {
+	index    int32 // in the servers of the pool
+	hasSpare bool  // its region has spare slots; such servers come first
+	value    float64
+}
+
 // unitFloat maps a hash to the open interval (0, 1).
 func unitFloat(h uint64) float64 {
 	return (float64(h>>11) + 0.5) / (1 << 53)
