--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -69,7 +69,15 @@
 	registeredHosts     []gossiper.RegisteredHost // registered hosts except this one
 	hostCount           int                       // hosts that share the limits, this one included
 	hostNames           []string                  // their names, sorted; nil before they were first counted
+	appliedHosts        uint64                    // version of the tracker whose live hosts are applied; 0 if none are
+	peerStateAt         time.Duration             // when the state of the others was last applied; 0 if never
+	peerStateDue        bool                      // applying it is delayed
+	limitOwnerCount     int                       // live hosts that share pooled limits
 	gossipedAt          time.Duration
+	heartbeats          []tracker.Heartbeat // reused for the messages to send
+	datagram            []byte              // the same
+	shared              map[recipientClass]sharedPart
+	sharedReports       [2][]byte            // encoded health reports of the round for the own zone and for others; nil until needed
 	deferred            []gossiper.Recipient // recipients of the gossip round that get their messages later
 	sliceSize           int                  // recipients that get their messages at once
 	sliceInterval       time.Duration        // between slices of a gossip round
@@ -109,6 +117,7 @@
 		caches:      map[string]*objectCache{},
 		hostCount:   c.settings.ExpectedHosts,
 
+		shared:          map[recipientClass]sharedPart{},
 		peerSuspects:    map[string]uint64{},
 		serviceRooms:    map[string]roomChange{},
 		priorityChanges: map[string]priorityChange{},
@@ -330,48 +339,17 @@
 }
 
 // applyPeerState applies the state that other hosts reported: the shares of the
-// limits, the load of backend servers, and the hosts in look-up answers.
+// limits, the load of backend servers, and what depends on the live hosts.
 func (l *loop) applyPeerState(now time.Duration) {
-	l.countHosts(now)
-	live := l.tracker.Live(now)
+	l.peerStateAt = now
+	l.applyLiveHosts(now)
 	reported := l.gossiper.OtherLoad(now)
-	for kind, f := range l.followers {
-		if kind != l.kinds.Hosts && kind != l.kinds.Quarantines { // hosts learn of these from one another, so they keep the longest watches
-			f.SetWatcherCount(watcherCount(live))
-		}
-	}
-	owners := l.limitOwners(live)
 	l.controller.allocator.SetFleet(now, allocator.Fleet{
-		Hosts: l.hostCount, PoolHosts: len(owners), Live: len(live), OtherDemand: l.remoteDemand(reported),
+		Hosts: l.hostCount, PoolHosts: l.limitOwnerCount, Live: l.tracker.LiveCount(now), OtherDemand: l.remoteDemand(reported),
 	})
 	l.controller.placer.SetRemoteRunning(now, l.remoteRunning(reported))
 	l.controller.placer.SetDemand(now, l.regionDemand(now))
 	l.controller.placer.SetPriorityReports(now, l.priorityReports(now))
-	l.controller.charger.SetHosts(owners)
-	l.updateRelays(live)
-	l.controller.updateLookups(live)
-}
-
-// limitOwners returns the live hosts of this host's region, which share pooled
-// limits: a charge at any of them takes a few milliseconds.
-func (l *loop) limitOwners(live []tracker.Host) []tracker.Host {
-	var own []tracker.Host
-	for _, host := range live {
-		if l.controller.settings.Regions[host.Zone] == l.controller.settings.Region && (host.State == tracker.Serving || host.ID.Name == l.controller.settings.Host) {
-			own = append(own, host)
-		}
-	}
-	return own
-}
-
-// watcherCount returns the number of live hosts that watch the store: one in each
-// zone.
-func watcherCount(live []tracker.Host) int {
-	zones := map[string]bool{}
-	for _, host := range live {
-		zones[host.Zone] = true
-	}
-	return len(zones)
 }
 
 // settingsChange holds the settings of a changed settings file.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -76,6 +76,9 @@
 	services    []Service
 	pools       map[string]*pool
 	servers     map[string]*server
+	list        []*server            // the same servers, for what passes over all of them
+	limitsKnown bool                 // some server may have a request limit to report
+	leaveKnown  bool                 // some server may have said that it leaves
 	runTimes    map[string]*runTimes // by route
 	coldLimiter coldLimiter
 	evacuated   map[string]bool // availability zones that receive no requests
@@ -151,15 +154,17 @@
 	for _, service := range services {
 		known[service.Name] = service
 	}
-	servers := make(map[string]*server, len(all))
+	servers, list := make(map[string]*server, len(all)), make([]*server, 0, len(all))
 	for _, r := range all {
 		service, ok := known[r.Service()]
 		if !ok {
 			service = Service{Name: r.Service()}
 		}
-		servers[r.ID()] = p.serverFor(now, r, service)
+		s := p.serverFor(now, r, service)
+		servers[r.ID()] = s
+		list = append(list, s)
 	}
-	p.servers = servers
+	p.servers, p.list = servers, list
 	p.services = services
 	p.rebuildPools(services)
 }
@@ -176,7 +181,7 @@
 	for _, zone := range evacuated {
 		next[zone] = true
 	}
-	for _, s := range p.servers {
+	for _, s := range p.list {
 		zone := s.Zone()
 		if p.evacuated[zone] && !next[zone] {
 			s.assumeColdUntil = max(s.assumeColdUntil, now+coldStart[s.Service()])
@@ -212,7 +217,7 @@
 	for _, service := range services {
 		pools[service.Name] = newPool(p.location, p.regions)
 	}
-	for _, s := range p.servers {
+	for _, s := range p.list {
 		if pools[s.Service()] == nil {
 			pools[s.Service()] = newPool(p.location, p.regions)
 		}
@@ -267,6 +272,7 @@
 	defer p.mu.Unlock()
 	pick.server.done(now, pick, outcome, load)
 	p.countOutcome(now, pick, outcome)
+	p.limitsKnown = p.limitsKnown || pick.server.limit.observed
 	if load.RetryAfter > 0 {
 		pick.server.pause(now, load.RetryAfter, p.self)
 	}
@@ -285,9 +291,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	running := map[string]int{}
-	for id, s := range p.servers {
+	for _, s := range p.list {
 		if s.running > 0 {
-			running[id] = s.running
+			running[s.ID()] = s.running
 		}
 	}
 	return running
@@ -298,8 +304,8 @@
 func (p *Placer) SetRemoteRunning(now time.Duration, running map[string]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, s := range p.servers {
-		s.otherRunning = running[id]
+	for _, s := range p.list {
+		s.otherRunning = running[s.ID()]
 	}
 	for _, pool := range p.pools {
 		pool.updateUtilization(now)
@@ -327,7 +333,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := make([]Summary, 0, len(p.servers))
-	for _, s := range p.servers {
+	for _, s := range p.list {
 		all = append(all, Summary{
 			ID: s.ID(), Service: s.Service(), Zone: s.Zone(), Running: s.running,
 			Load: s.load(now), Slowness: s.slowness(now), FailureRate: s.failureRate(now), Ejected: now < s.ejectedUntil,
