placer: limit how fast load moves requests to other regions

So the cost comparison moved them, which no cap held.

The share of a host's requests that leave the region of the first usable server of their order now grows by half of the cap in two seconds, counted by requests. Crashes, evacuations, starting, slow and failing servers are not held back.

--- a/internal/controller/serviceloads.go
+++ b/internal/controller/serviceloads.go
@@ -25,6 +25,7 @@
 // updateServiceLoads updates the metrics of the average loads by which servers are
 // chosen, and logs services that have room for cold runs no more, or again.
 func (l *loop) updateServiceLoads(now time.Duration) {
+	l.controller.recorder.Scope().Counter("requests_held_in_region").Inc(int64(l.controller.placer.TakeHeldBack()))
 	for _, s := range l.controller.placer.TakeServiceLoads() {
 		scope := l.controller.recorder.Scope().Tagged(map[string]string{"service": s.Service})
 		scope.Gauge("service_utilization").Update(s.Utilization)
--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -85,6 +85,7 @@
 	now      time.Duration
 	query    Query
 	runTimes *runTimes
+	home     string // region that the request leaves only within the limit; empty if it may run anywhere
 }
 
 // candidate is a server with the expected cost of sending the request there.
@@ -105,7 +106,9 @@
 // there is no other.
 func (c *choice) best() (candidate, bool, time.Duration) {
 	key := objectKey{c.query.Route, c.query.Object}
-	candidates, avoided := c.withoutColdRuns(key, c.candidates(key))
+	candidates := c.candidates(key)
+	c.home = c.homeRegion(key, candidates)
+	candidates, avoided := c.withoutColdRuns(key, c.withoutSpill(candidates))
 	if avoided {
 		c.pool.coldAvoided++
 	}
@@ -148,7 +151,7 @@
 		return candidate{}, false
 	}
 	for i, s := range c.pool.order(key).all {
-		if !c.eligible(s) || !s.usable(c.now) {
+		if !c.eligible(s) || !s.usable(c.now) || c.heldBack(s) {
 			continue
 		}
 		next := c.candidate(key, s, i)
@@ -336,6 +339,7 @@
 	s := found.server
 	load := s.load(c.now)
 	s.running++
+	c.placer.spill.observe(c.now, c.leavesHome(s), c.placer.shiftCap)
 	c.placer.pickCount++
 	key := objectKey{c.query.Route, c.query.Object}
 	pick := Pick{
--- a/pkg/placer/loads_test.go
+++ b/pkg/placer/loads_test.go
@@ -73,6 +73,7 @@
 	From map[string]float64
 	// Hosts receive the demand of all regions with each gossip.
 	Demand bool
+	shifts `yaml:",inline"`
 	Hot    int // number of objects that get half of the requests
 	Burst  struct{ From, To, Rate float64 }
 	Slow   struct {
@@ -101,6 +102,7 @@
 	sim := &simulation{workload: l, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[string]*server{}}
 	sim.results.windows = map[int]*windowResult{}
 	draws := rand.New(rand.NewPCG(seed, 2))
+	options := append(l.options(), placer.WithRandom(draws.Float64))
 	r := registrar.New()
 	for _, zone := range slices.Sorted(maps.Keys(l.Servers)) {
 		for i := range l.Servers[zone] {
@@ -115,7 +117,7 @@
 	}
 	for _, zone := range slices.Sorted(maps.Keys(regions)) {
 		for i := range max(1, l.Hosts) {
-			p := placer.New(fmt.Sprint("host-", zone, i), placer.Location{Zone: zone, Region: regions[zone]}, regions, placer.WithRandom(draws.Float64))
+			p := placer.New(fmt.Sprint("host-", zone, i), placer.Location{Zone: zone, Region: regions[zone]}, regions, options...)
 			p.Update(0, []placer.Service{{Name: service}}, sim.instances, nil)
 			sim.hosts = append(sim.hosts, p)
 			sim.names = append(sim.names, fmt.Sprint("host-", zone, i))
@@ -175,8 +177,9 @@
 		sim.finishRequests()
 		sim.gossip()
 		for n := sim.rate() * step.Seconds(); n > 0 && sim.rng.Float64() < n; n-- {
-			sim.sendRequest()
+			sim.sendRequest(sim.drawHost(), nil)
 		}
+		sim.sendBound()
 		sim.failures.observe(sim)
 	}
 	return sim.results
@@ -218,7 +221,7 @@
 // drawHost draws the host that receives a request.
 func (sim *simulation) drawHost() int {
 	host := sim.rng.IntN(len(sim.hosts))
-	for sim.workload.From != nil && sim.rng.Float64() >= sim.workload.From[sim.region(host)] {
+	for !sim.accepts(sim.region(host)) {
 		host = sim.rng.IntN(len(sim.hosts))
 	}
 	return host
@@ -236,8 +239,9 @@
 	}
 }
 
-func (sim *simulation) sendRequest() {
-	host := sim.drawHost()
+// sendRequest sends a request to a host that may run in the allowed regions; nil allows
+// all.
+func (sim *simulation) sendRequest(host int, allowed []string) {
 	object := fmt.Sprint(sim.rng.IntN(sim.workload.Objects))
 	if sim.workload.Hot > 0 && sim.rng.IntN(2) == 0 {
 		object = fmt.Sprint(sim.rng.IntN(sim.workload.Hot))
@@ -245,13 +249,14 @@
 	sim.results.requests++
 	sim.results.window(sim.now).requests++
 	pick, verdict, _ := sim.hosts[host].Choose(sim.now, placer.Query{
-		Service: service, Route: "r", Object: object, Goal: sim.workload.Goal, TimeLeft: sim.workload.Limit,
+		Service: service, Route: "r", Object: object, Goal: sim.workload.Goal, TimeLeft: sim.workload.Limit, AllowedRegions: allowed,
 	})
 	if verdict != placer.Chosen {
 		sim.results.refused++
 		sim.failures.refused(sim)
 		return
 	}
+	sim.results.runs = append(sim.results.runs, regionRun{sim.now, sim.region(host), pick.Region()})
 	request := simulatedRequest{host: host, pick: pick, object: object, arrived: sim.now}
 	s := sim.servers[pick.ID()]
 	switch {
@@ -261,6 +266,7 @@
 		s.waiting = append(s.waiting, request)
 	default:
 		sim.results.shed++
+		sim.results.runs = sim.results.runs[:len(sim.results.runs)-1]
 		sim.hosts[host].Done(sim.now, pick, placer.Shed, sim.report(pick.ID(), s))
 	}
 }
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -80,6 +80,7 @@
 	pickCount   uint64          // number of picks made
 	draw        func() float64  // random numbers in [0, 1)
 	shiftCap    float64         // share of a region's requests that may move to another region within two seconds
+	spill       spill
 }
 
 // Option sets a property of a placer.
--- a/pkg/placer/results_test.go
+++ b/pkg/placer/results_test.go
@@ -5,6 +5,7 @@
 type results struct {
 	requests, onTime, late, lost, refused, shed int
 	windows                                     map[int]*windowResult // by number, from the start
+	runs                                        []regionRun           // accepted requests, by time
 }
 
 // windowResult counts the requests that arrived within a window.
