--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -284,29 +284,31 @@
 		if !ok {
 			sum.Bound = make(map[uint32]int, len(load.Bound))
 		}
-		sum.Free += load.Free
-		for region, count := range load.Bound {
-			sum.Bound[region] += count
-		}
+		sum.accumulate(load)
 		l.Services[hash] = sum
 	}
 }
 
 // Add returns the sum of both.
 func (s ServiceLoad) Add(other ServiceLoad) ServiceLoad {
-	sum := ServiceLoad{Free: s.Free + other.Free, Bound: map[uint32]int{}}
-	for _, load := range []ServiceLoad{s, other} {
-		for region, count := range load.Bound {
-			sum.Bound[region] += count
-		}
-		for priority, counts := range load.Priorities {
-			if sum.Priorities == nil {
-				sum.Priorities = map[int]prioritizer.Counts{}
-			}
-			sum.Priorities[priority] = sum.Priorities[priority].Add(counts)
+	sum := ServiceLoad{Bound: map[uint32]int{}}
+	sum.accumulate(s)
+	sum.accumulate(other)
+	return sum
+}
+
+// accumulate adds a load to one whose maps nothing else refers to.
+func (s *ServiceLoad) accumulate(other ServiceLoad) {
+	s.Free += other.Free
+	for region, count := range other.Bound {
+		s.Bound[region] += count
+	}
+	for priority, counts := range other.Priorities {
+		if s.Priorities == nil {
+			s.Priorities = map[int]prioritizer.Counts{}
 		}
+		s.Priorities[priority] = s.Priorities[priority].Add(counts)
 	}
-	return sum
 }
 
 // PriorityReports returns what the other hosts of the own zone and the other zones
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -87,6 +87,7 @@
 	shiftCap    float64         // share of a region's requests that may move to another region within two seconds
 
 	priorities map[string]*prioritizer.Prioritizer // by service
+	spill      spill
 }
 
 // Option sets a property of a placer.
