placer: spread requests without an object over the near servers

Cause: all hosts took the first server by ID for a request without an object (a route without StickySessions, or no cookie yet): the first of the list was taken for warm, all others for cold, and the list is sorted by ID.

Now each request draws: the less loaded of two servers in the host's own availability zone, if that has its share of the slots, then in its region, then elsewhere; which region is divided as for objects. All servers count as equally fast for it, so that a later one is taken only where waiting costs more than the distance.

Ruled out: near first by distance alone.

--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -182,18 +182,18 @@
 }
 
 // candidates returns the first usable servers in the object's order. Without
-// an object it returns all usable servers.
+// an object it returns all usable servers, in an order of this request.
 func (c *choice) candidates(key objectKey) []candidate {
 	var list []candidate
 	if key.object == "" {
-		list = c.newCandidates(key, c.pool.servers, len(c.pool.servers))
+		list = c.spread()
 	} else {
 		order := c.pool.order(key)
 		first, second := order.all, order.local
 		if order.draw < c.pool.split.localShare {
 			first, second = order.local, order.all
 		}
-		list = c.newCandidates(key, nil, 0)
+		list = make([]candidate, 0, 2*orderCandidates)
 		if c.placer.averaging() && c.runTimes.bytes >= largeExchange && c.pool.zoneHasShare() {
 			list = c.appendCandidates(list, key, order.zonal, zonalCandidates)
 		}
@@ -209,10 +209,6 @@
 	return list
 }
 
-func (c *choice) newCandidates(key objectKey, servers []*server, limit int) []candidate {
-	return c.appendCandidates(make([]candidate, 0, 2*orderCandidates), key, servers, limit)
-}
-
 // appendCandidates appends up to limit usable servers that are not in the
 // list.
 func (c *choice) appendCandidates(list []candidate, key objectKey, servers []*server, limit int) []candidate {
@@ -282,7 +278,8 @@
 
 func (c *choice) candidate(key objectKey, s *server, rank int) candidate {
 	slowness := s.slowness(c.now)
-	run := time.Duration(slowness * float64(c.runTimes.expected(rank < warmCopies || s.warm(c.now, key))))
+	warm := key.object == "" || rank < warmCopies || s.warm(c.now, key)
+	run := time.Duration(slowness * float64(c.runTimes.expected(warm)))
 	wait := time.Duration(slowness * float64(c.expectedWait(s)))
 	failures := time.Duration(failurePenalty * s.failureRate(c.now) * float64(c.query.Goal))
 	return candidate{server: s, rank: rank, run: run, wait: wait, cost: c.distance(s) + wait + run + failures}
--- a/pkg/placer/loads_test.go
+++ b/pkg/placer/loads_test.go
@@ -41,6 +41,8 @@
 	waiting      []simulatedRequest
 	warm         map[string]bool
 	coldRuns     int // runs of objects that were cold
+	// Number of requests without an object that were sent to the server.
+	withoutObject int
 }
 
 // simulatedRequest is a request that runs or waits at a server.
@@ -59,13 +61,15 @@
 	Slots   int
 	Queue   int
 	Objects int
-	Rate    float64       // requests per second over all hosts
-	Cold    time.Duration // run time with an object that is cold
-	Warm    time.Duration
-	Goal    time.Duration
-	Seconds float64
-	Hosts   int           // per zone; 1 if not given
-	Gossip  time.Duration // interval at which hosts receive what the others had in flight one interval ago; 0 disables gossip
+	// Share of the requests that have no object.
+	WithoutObjects float64       `yaml:"without-objects"`
+	Rate           float64       // requests per second over all hosts
+	Cold           time.Duration // run time with an object that is cold
+	Warm           time.Duration
+	Goal           time.Duration
+	Seconds        float64
+	Hosts          int           // per zone; 1 if not given
+	Gossip         time.Duration // interval at which hosts receive what the others had in flight one interval ago; 0 disables gossip
 	// Hosts receive the health reports of the others with each gossip.
 	Evidence bool
 	Limit    time.Duration // an answer that takes longer is lost; 10 goals if not given
@@ -236,12 +240,21 @@
 	}
 }
 
-func (sim *simulation) sendRequest() {
-	host := sim.drawHost()
+// drawObject draws the object of a request.
+func (sim *simulation) drawObject() string {
+	if w := sim.workload.WithoutObjects; w > 0 && sim.rng.Float64() < w {
+		return ""
+	}
 	object := fmt.Sprint(sim.rng.IntN(sim.workload.Objects))
 	if sim.workload.Hot > 0 && sim.rng.IntN(2) == 0 {
 		object = fmt.Sprint(sim.rng.IntN(sim.workload.Hot))
 	}
+	return object
+}
+
+func (sim *simulation) sendRequest() {
+	host := sim.drawHost()
+	object := sim.drawObject()
 	sim.results.requests++
 	sim.results.window(sim.now).requests++
 	pick, verdict, _ := sim.hosts[host].Choose(sim.now, placer.Query{
@@ -254,6 +267,9 @@
 	}
 	request := simulatedRequest{host: host, pick: pick, object: object, arrived: sim.now}
 	s := sim.servers[pick.ID()]
+	if object == "" {
+		s.withoutObject++
+	}
 	switch {
 	case s.running < s.slots:
 		sim.start(s, request)
@@ -268,7 +284,7 @@
 func (sim *simulation) start(s *server, request simulatedRequest) {
 	s.running++
 	took := sim.workload.Warm
-	if !s.warm[request.object] {
+	if request.object != "" && !s.warm[request.object] {
 		took = sim.workload.Cold
 		s.coldRuns++
 	}
