placer: run a request that would be refused at an idle server

On fleets that decide by average loads a request that would be refused now runs at the first idle server of its object's order: less than 0.15 requests per slot, averaged over a second. Each host draws for its part of what the idle slots of all such servers can run. Hosts that got a response from there know the object to be warm and use it from then on. Counter idle_server_runs.

--- a/internal/controller/serviceloads.go
+++ b/internal/controller/serviceloads.go
@@ -30,6 +30,7 @@
 		scope.Gauge("service_utilization").Update(s.Utilization)
 		scope.Counter("requests_declined").Inc(int64(s.Declined))
 		scope.Counter("cold_runs_avoided").Inc(int64(s.ColdAvoided))
+		scope.Counter("idle_server_runs").Inc(int64(s.IdleRuns))
 		last, logged := l.serviceRooms[s.Service]
 		if s.HasRoom == (last.hasRoom || !logged) || logged && now-last.loggedAt < loadLogInterval {
 			continue
--- a/pkg/placer/average.go
+++ b/pkg/placer/average.go
@@ -28,6 +28,7 @@
 		busy += s.utilization * float64(s.Slots())
 	}
 	p.utilization = busy / float64(max(p.slots, 1))
+	p.updateIdle(now)
 }
 
 // declines reports whether a request is kept away from a server. The share of such
@@ -77,6 +78,7 @@
 	HasRoom     bool    // there is room for cold runs
 	Declined    int     // requests that a server declined; they may have run at another one
 	ColdAvoided int     // requests whose cheapest server was left out because they would run cold there
+	IdleRuns    int     // requests that ran cold at an idle server in place of being refused
 }
 
 // TakeServiceLoads returns the average loads by which servers are chosen, in no
@@ -92,9 +94,9 @@
 	for name, pool := range p.pools {
 		all = append(all, ServiceLoad{
 			Service: name, Utilization: pool.utilization, HasRoom: pool.utilization <= spareUtilization,
-			Declined: pool.declined, ColdAvoided: pool.coldAvoided,
+			Declined: pool.declined, ColdAvoided: pool.coldAvoided, IdleRuns: pool.idle.runs,
 		})
-		pool.declined, pool.coldAvoided = 0, 0
+		pool.declined, pool.coldAvoided, pool.idle.runs = 0, 0, 0
 	}
 	return all
 }
--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -142,11 +142,15 @@
 }
 
 // spare returns the first server of the object's order that has a free slot, if
-// the service as a whole has enough of them.
+// the service as a whole has enough of them. On a large fleet without enough it may
+// return an idle server.
 func (c *choice) spare(key objectKey) (candidate, bool) {
-	if key.object == "" || !c.hasSpareSlots() {
+	if key.object == "" {
 		return candidate{}, false
 	}
+	if !c.hasSpareSlots() {
+		return c.idleServer(key)
+	}
 	for i, s := range c.pool.order(key).all {
 		if !c.eligible(s) || !s.usable(c.now) {
 			continue
--- a/pkg/placer/pool.go
+++ b/pkg/placer/pool.go
@@ -20,6 +20,7 @@
 	slots       int
 	utilization float64            // moving average of the requests per slot of all servers as of averagedAt
 	averagedAt  time.Duration      // on the host's clock
+	idle        idleSlots          // slots that nobody uses
 	declined    int                // requests that a server declined, since they were last taken
 	coldAvoided int                // requests that did not run cold for lack of room, since they were last taken
 	regionSlots map[string]int     // slots by region
@@ -109,7 +110,7 @@
 // averages of demand and utilization in any case.
 func (p *pool) inherit(old *pool) {
 	p.utilization, p.averagedAt = old.utilization, old.averagedAt
-	p.declined, p.coldAvoided = old.declined, old.coldAvoided
+	p.declined, p.coldAvoided, p.idle = old.declined, old.coldAvoided, old.idle
 	if maps.Equal(p.regionSlots, old.regionSlots) {
 		p.split = old.split
 		p.setOrderShares(old.orderShares)
--- a/pkg/placer/server.go
+++ b/pkg/placer/server.go
@@ -53,6 +53,7 @@
 	reportedSlots   int     // slots in its latest load report; 0 if it did not say
 	ownAtReport     int     // requests of this host at the time of that report
 	utilization     float64 // moving average of the requests per slot
+	longUtilization float64 // the same over a longer time (idleDecay)
 	slownessAvg     float64 // moving average as of slownessAt
 	slownessAt      time.Duration
 	failureAvg      float64 // moving average of the share of failures as of failureAt
