--- a/pkg/placer/loads_test.go
+++ b/pkg/placer/loads_test.go
@@ -43,6 +43,8 @@
 	waiting      []simulatedRequest
 	warm         map[string]bool
 	coldRuns     int // runs of objects that were cold
+	// Number of requests without an object that were sent to the server.
+	withoutObject int
 }
 
 // simulatedRequest is a request that runs or waits at a server.
@@ -62,16 +64,18 @@
 	Slots   int
 	Queue   int
 	Objects int
-	Rate    float64       // requests per second over all hosts
-	Cold    time.Duration // run time with an object that is cold
-	Warm    time.Duration
-	Goal    time.Duration
-	Seconds float64
-	Hosts   int           // per zone; 1 if not given
-	Gossip  time.Duration // interval at which hosts receive what the others had in flight one interval ago; 0 disables gossip
-	Fleet   int           // hosts in all; Hosts per zone if not given
-	Kinds   []requestKind // of requests; one of them if not given
-	News    time.Duration // age of what hosts hear of others, if there are kinds
+	// Share of the requests that have no object.
+	WithoutObjects float64       `yaml:"without-objects"`
+	Rate           float64       // requests per second over all hosts
+	Cold           time.Duration // run time with an object that is cold
+	Warm           time.Duration
+	Goal           time.Duration
+	Seconds        float64
+	Hosts          int           // per zone; 1 if not given
+	Gossip         time.Duration // interval at which hosts receive what the others had in flight one interval ago; 0 disables gossip
+	Fleet          int           // hosts in all; Hosts per zone if not given
+	Kinds          []requestKind // of requests; one of them if not given
+	News           time.Duration // age of what hosts hear of others, if there are kinds
 	// Hosts receive the health reports of the others with each gossip.
 	Evidence bool
 	Limit    time.Duration // an answer that takes longer is lost; 10 goals if not given
@@ -246,13 +250,22 @@
 	}
 }
 
-// sendRequest sends a request to a host that may run in the allowed regions; nil allows
-// all.
-func (sim *simulation) sendRequest(host int, allowed []string) {
+// drawObject draws the object of a request.
+func (sim *simulation) drawObject() string {
+	if w := sim.workload.WithoutObjects; w > 0 && sim.rng.Float64() < w {
+		return ""
+	}
 	object := fmt.Sprint(sim.rng.IntN(sim.workload.Objects))
 	if sim.workload.Hot > 0 && sim.rng.IntN(2) == 0 {
 		object = fmt.Sprint(sim.rng.IntN(sim.workload.Hot))
 	}
+	return object
+}
+
+// sendRequest sends a request to a host that may run in the allowed regions; nil allows
+// all.
+func (sim *simulation) sendRequest(host int, allowed []string) {
+	object := sim.drawObject()
 	number, kind := sim.drawKind()
 	sim.results.requests++
 	sim.results.window(sim.now).requests++
@@ -268,6 +281,9 @@
 	sim.results.runs = append(sim.results.runs, regionRun{sim.now, sim.region(host), pick.Region()})
 	request := simulatedRequest{host: host, pick: pick, object: object, arrived: sim.now, kind: number}
 	s := sim.servers[pick.ID()]
+	if object == "" {
+		s.withoutObject++
+	}
 	switch {
 	case s.running < s.slots:
 		sim.start(s, request)
@@ -283,7 +299,7 @@
 func (sim *simulation) start(s *server, request simulatedRequest) {
 	s.running++
 	took := sim.workload.Warm
-	if !s.warm[request.object] {
+	if request.object != "" && !s.warm[request.object] {
 		took = sim.workload.Cold
 		s.coldRuns++
 	}
