--- a/pkg/placer/idle.go
+++ b/pkg/placer/idle.go
@@ -65,7 +65,7 @@
 	order := c.pool.order(key).all
 	elsewhere := -1
 	for i, s := range order {
-		if !s.idle(c.now) || !c.eligible(s) || !s.usable(c.now) {
+		if !s.idle(c.now) || !c.eligible(s) || !s.usable(c.now) || c.heldBack(s) {
 			continue
 		}
 		if s.region == c.placer.location.Region {
