--- a/pkg/placer/shift.go
+++ b/pkg/placer/shift.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	spillCapShare    = 0.5 // part of the cap on changes of region that load may use; changes of the region shares use the rest
-	maxSpillTokens   = 1.0 // requests that a host may send out of their region at once
-	avoidingSlowness = 2.0 // slowness of a server from which requests leave its region without limit
+	spillCapShare    = 0.25 // part of the cap that load may use: shares of the regions use half, and refusals change the mix as well
+	maxSpillTokens   = 1.0  // requests that a host may send out of their region at once
+	avoidingSlowness = 2.0  // slowness of a server from which requests leave its region without limit
 )
 
 // spill limits how fast the share of a host's requests grows that leave the region where
@@ -38,13 +38,16 @@
 
 // homeRegion returns the region where the object's order puts a request: that of the first
 // candidate. Candidates are usable, so servers that crash or are evacuated move requests at
-// once. It is empty, and the request may run anywhere, if the order says nothing or if that
-// server starts, is slow or fails.
+// once. It is empty, and the request may run anywhere, if the order says nothing, if that
+// server starts, or if it is slow or fails without being full: requests that wait too long
+// at a full server fail as well.
 func (c *choice) homeRegion(key objectKey, candidates []candidate) string {
 	if key.object == "" || c.placer.shiftCap >= 1 || len(candidates) == 0 {
 		return ""
 	}
-	if s := candidates[0].server; !s.maybeCold(c.now) && s.slowness(c.now) < avoidingSlowness && s.failureRate(c.now) <= impairedFailureRate {
+	s := candidates[0].server
+	impaired := s.slowness(c.now) >= avoidingSlowness || s.failureRate(c.now) > impairedFailureRate
+	if !s.maybeCold(c.now) && (!impaired || s.load(c.now) >= float64(s.Slots())) {
 		return s.region
 	}
 	return ""
