--- a/pkg/placer/priority_test.go
+++ b/pkg/placer/priority_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"sync"
 	"testing"
 	"time"
 
@@ -213,10 +214,12 @@
 	r, ok := priorityRuns[key]
 	if !ok {
 		r = priorityRun{newSimulation(l, *prioritySeed), newSimulation(withoutPriorities(l), *prioritySeed), l.Kinds}
+		var both sync.WaitGroup
 		for _, sim := range []*simulation{r.with, r.without} {
 			sim.failures = fail
-			sim.run()
+			both.Go(func() { sim.run() })
 		}
+		both.Wait()
 		priorityRuns[key] = r
 	}
 	return r
