--- a/pkg/placer/loads_test.go
+++ b/pkg/placer/loads_test.go
@@ -110,7 +110,7 @@
 
 func newSimulation(l workload, seed uint64) *simulation {
 	sim := &simulation{workload: l, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[string]*server{}}
-	sim.results.windows = map[int]*windowResult{}
+	sim.results.windows, sim.results.regions = map[int]*windowResult{}, map[string]*windowResult{}
 	draws := rand.New(rand.NewPCG(seed, 2))
 	options := append(l.options(), placer.WithRandom(draws.Float64))
 	r := registrar.New()
@@ -268,7 +268,7 @@
 	object := sim.drawObject()
 	number, kind := sim.drawKind()
 	sim.results.requests++
-	sim.results.window(sim.now).requests++
+	sim.results.countRequest(sim.now, sim.region(host))
 	sim.kinds.asked(sim.now, host, number)
 	pick, verdict, _ := sim.hosts[host].Choose(sim.now, placer.Query{
 		Service: service, Route: kind.Route, Priority: kind.Priority, Object: object, Goal: kind.Goal, TimeLeft: sim.workload.Limit, AllowedRegions: allowed,
@@ -342,7 +342,7 @@
 		switch {
 		case took <= goal:
 			sim.results.onTime++
-			sim.results.window(request.arrived).onTime++
+			sim.results.countOnTime(request.arrived, sim.region(request.host))
 		case took <= sim.workload.Limit:
 			sim.results.late++
 		default:
