messenger: fetch on new connections after a fetch has failed

Ruled out: a cut link (new connections worked), the priorities and advances (no charges are pooled there).

After a failed fetch all idle connections are closed. http.Client could not close them so far, since the wrapper of the transport lacked the method: Messenger.Close did nothing.

--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -137,12 +137,8 @@
 func (l *loop) fetch(host string, positions []*peerv1.Position) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	resp, err := l.controller.messenger.Peer(host).Objects(ctx, connect.NewRequest(&peerv1.ObjectsRequest{Known: positions}))
-	m := &fetchResult{host: host, err: err}
-	if err == nil {
-		m.lists = resp.Msg.GetTables()
-	}
-	l.send(m)
+	lists, err := l.controller.messenger.Objects(ctx, host, positions)
+	l.send(&fetchResult{host: host, lists: lists, err: err})
 }
 
 // fetchResult holds the objects that another host returned, or an error.
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1/peerv1connect"
 	"magnoliahill.example/magnoliahill/pkg/allocator"
 )
@@ -74,9 +75,24 @@
 	return t.next.RoundTrip(req)
 }
 
+// CloseIdleConnections lets http.Client close the idle connections.
+func (t *partitionTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
+
 // Close closes idle connections.
 func (m *Messenger) Close() { m.httpClient.CloseIdleConnections() }
 
+// Objects fetches objects from the host with the given control address. If that fails, the
+// idle connections to all hosts are closed, since they may have fallen silent together: a
+// caller that tries the hosts one after the other would wait on each of them.
+func (m *Messenger) Objects(ctx context.Context, control string, known []*peerv1.Position) ([]*peerv1.ObjectTable, error) {
+	resp, err := m.Peer(control).Objects(ctx, connect.NewRequest(&peerv1.ObjectsRequest{Known: known}))
+	if err != nil {
+		m.httpClient.CloseIdleConnections()
+		return nil, errors.Wrapf(err, "fetching objects from %s", control)
+	}
+	return resp.Msg.GetTables(), nil
+}
+
 // Peer returns the client for a host's control address.
 func (m *Messenger) Peer(address string) peerv1connect.PeerServiceClient {
 	m.mu.Lock()
