placer: let requests without an object return to a server that was full

Requests without an object go to the less loaded of two servers, and the estimate of a server that was full once stays above that of one that is never busy, by less and less but for ever. And a refusal with a Retry-After counted as a failure if the server reported free slots, whose penalty is above the run time of such requests for long.

Ruled out: the gradual return after a pause (one request at a time was allowed).

Differences below a tenth of a request per slot now count as none, and a server that says how long it wants nothing has not failed.

--- a/pkg/placer/server.go
+++ b/pkg/placer/server.go
@@ -160,8 +160,12 @@
 
 // observeShed records a request that was refused for lack of room. It counts
 // as a failure if the server reports free slots. A server that reports no load
-// is assumed to be full.
+// is assumed to be full. One that says how long it wants nothing is paused for that
+// time, and neither has failed nor is full after it.
 func (s *server) observeShed(now time.Duration, load Load) {
+	if load.RetryAfter > 0 {
+		return
+	}
 	if load.Known && load.Running < s.Slots() {
 		s.observeFailure(now, 1)
 		return
--- a/pkg/placer/spread.go
+++ b/pkg/placer/spread.go
@@ -5,6 +5,10 @@
 	"slices"
 )
 
+// minLoadDifference is the difference in requests per slot from which one server counts as
+// less loaded than another. Estimates differ a little long after a server was busy.
+const minLoadDifference = 0.1
+
 // spread returns all usable servers for a request without an object, which takes the
 // same time at each of them. The region is divided as for objects. Servers in the host's
 // own availability zone come first, if that has its share of the slots, then those in the
@@ -30,7 +34,7 @@
 	list := make([]candidate, 0, len(c.pool.servers))
 	for _, servers := range near {
 		c.shuffle(servers)
-		if len(servers) > 1 && c.requestsPerSlot(servers[1]) < c.requestsPerSlot(servers[0]) {
+		if len(servers) > 1 && c.requestsPerSlot(servers[0])-c.requestsPerSlot(servers[1]) >= minLoadDifference {
 			servers[0], servers[1] = servers[1], servers[0]
 		}
 		for _, s := range servers {
--- a/pkg/placer/spread_test.go
+++ b/pkg/placer/spread_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -76,3 +77,25 @@
 	t.Log(zones)
 	is.Equal(len(zones), len(regions))
 }
+
+// A server that was full once gets requests without an object again when that is long
+// past, although the other one has had none waiting all the time.
+func TestRequestsWithoutObjectsReturnToAServer(t *testing.T) {
+	is := is.New(t)
+	draws := rand.New(rand.NewPCG(1, 1))
+	p := placer.New("h", placer.Location{Zone: "a1", Region: "a"}, regions, placer.WithRandom(draws.Float64))
+	update(p, 0, 0, nil, instance("a1-0", "a1"), instance("a1-1", "a1"))
+	now, returned := time.Duration(0), 0
+	full, _, _ := p.Choose(now, query(""))
+	p.Done(now, full, placer.Shed, placer.Load{})
+	for ; now < 10*time.Second; now += 10 * time.Millisecond {
+		pick, verdict, _ := p.Choose(now, query(""))
+		is.Equal(verdict, placer.Chosen)
+		if pick.ID() == full.ID() && now > 5*time.Second {
+			returned++
+		}
+		p.Done(now, pick, placer.Answered, placer.Load{})
+	}
+	t.Logf("%d of 499 requests after five seconds", returned)
+	is.True(returned > 100)
+}
