--- a/pkg/placer/stalefailures_test.go
+++ b/pkg/placer/stalefailures_test.go
@@ -15,7 +15,7 @@
 const (
 	newsAge      = 1500 * time.Millisecond // the oldest news of a server
 	recordExpiry = 3 * time.Second         // hosts forget what a silent host had in flight
-	fewSeconds   = 3 * time.Second         // longest time that false figures may overrun or empty a server
+	recoveryTime = 3 * time.Second         // longest time that false figures may overrun or empty a server
 )
 
 // failures is what goes wrong in a simulation, and what was seen of it.
@@ -115,8 +115,8 @@
 	got := sim.run()
 	t.Logf("empty for %v, queue full for %v, worst window %.3f of the whole, beside idle %d of %d refused",
 		sim.failures.longestEmpty, sim.failures.longestFull, got.worstWindow(), sim.failures.besideIdle, got.refused)
-	is.True(sim.failures.longestEmpty <= fewSeconds)
-	is.True(sim.failures.longestFull <= fewSeconds)
+	is.True(sim.failures.longestEmpty <= recoveryTime)
+	is.True(sim.failures.longestFull <= recoveryTime)
 	is.True(got.worstWindow() >= 0.7)
 }
 
@@ -172,7 +172,7 @@
 
 // A figure that no server can mean empties it for a few seconds at most.
 func TestOldAbsurdLoadExpires(t *testing.T) {
-	testExpiry(t, placer.Load{Running: 1 << 20, Known: true}, fewSeconds)
+	testExpiry(t, placer.Load{Running: 1 << 20, Known: true}, recoveryTime)
 }
 
 // testExpiry lets all servers be full, by a report of one and by what others have in
