charger: let both requests be admitted before a charge fails

The advances are forgotten then, as they should be, and the second request is charged to the fallback bucket. Ruled out: a fault of the charger; the order of the two is not promised.

The stand-in now takes a millisecond of fake time, so that the order is the one that the test means.

--- a/internal/charger/background_test.go
+++ b/internal/charger/background_test.go
@@ -160,11 +160,12 @@
 		for range 3 {
 			shares.HoldAdvance(now(), "w", ownerID, now()+2*time.Second)
 		}
-		o.fails = true
+		o.fails, o.delay = true, time.Millisecond // both requests are admitted before a charge fails
 		for range 2 {
 			ok, _ := c.Take(t.Context(), now(), "w")
 			is.True(ok)
 		}
+		time.Sleep(2 * o.delay)
 		synctest.Wait()
 		charges := o.waited + o.advanced
 		ok, wait := c.Take(t.Context(), now(), "w")
