--- a/pkg/placer/limits_test.go
+++ b/pkg/placer/limits_test.go
@@ -185,6 +185,7 @@
 }
 
 func TestServerThatNamesALimitGetsNoMoreThanThatFromAllHosts(t *testing.T) {
+	t.Parallel()
 	for _, c := range readLimitCases(t) {
 		t.Run(c.Name, func(t *testing.T) {
 			r := newLimitRun(c)
@@ -203,6 +204,7 @@
 }
 
 func TestRequestsReturnToAServerWhoseLimitHasEnded(t *testing.T) {
+	t.Parallel()
 	for _, c := range readLimitCases(t) {
 		t.Run(c.Name, func(t *testing.T) {
 			r := newLimitRun(c)
--- a/pkg/placer/priority_test.go
+++ b/pkg/placer/priority_test.go
@@ -275,28 +275,36 @@
 }
 
 // TestPriorities runs kinds of different urgency at one service that has too little room.
-func TestPriorities(t *testing.T) { runPriorities(t, "priorities.yaml", failures{}, checkAll) }
+func TestPriorities(t *testing.T) {
+	t.Parallel()
+	runPriorities(t, "priorities.yaml", failures{}, checkAll)
+}
 
 func TestPrioritiesByHost(t *testing.T) {
+	t.Parallel()
 	runPriorities(t, "priorities.yaml", failures{}, checkHosts)
 }
 
 // The loads of priorities-hard.yaml, by one bound at a time.
 
 func TestServedWhenLate(t *testing.T) {
+	t.Parallel()
 	runPriorities(t, "priorities-hard.yaml", failures{}, checkServed)
 }
 
 func TestBenefitWhenLate(t *testing.T) {
+	t.Parallel()
 	runPriorities(t, "priorities-hard.yaml", failures{}, checkBenefit)
 }
 
 func TestOnTimeWhenLate(t *testing.T) {
+	t.Parallel()
 	runPriorities(t, "priorities-hard.yaml", failures{}, checkOnTime)
 }
 
 // TestPrioritiesWithoutGossip stops gossip midway: hosts go on by their own requests.
 func TestPrioritiesWithoutGossip(t *testing.T) {
+	t.Parallel()
 	runPriorities(t, "priorities-failures.yaml", failures{silentFrom: 8 * time.Second}, func(is *is.I, r priorityRun) {
 		checkServed(is, r)
 		checkOnTime(is, r)
@@ -305,11 +313,13 @@
 
 // TestPrioritiesWhenAHostDies ends a host with an eighth of all requests that wait.
 func TestPrioritiesWhenAHostDies(t *testing.T) {
+	t.Parallel()
 	runPriorities(t, "priorities-failures.yaml", failures{diesAt: 8 * time.Second}, checkAll)
 }
 
 // Kinds of one priority are served exactly as if there were none.
 func TestOnePriority(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var workloads []workload
 	readCases(t, "priorities.yaml", &workloads)
--- a/pkg/placer/shift_test.go
+++ b/pkg/placer/shift_test.go
@@ -142,11 +142,17 @@
 }
 
 // TestRegionShift plays loads that fill the servers of one region.
-func TestRegionShift(t *testing.T) { testShifts(t, "shift.yaml") }
+func TestRegionShift(t *testing.T) {
+	t.Parallel()
+	testShifts(t, "shift.yaml")
+}
 
 // TestRegionShiftWithOldNews plays the cold start of a fleet whose hosts choose at once by
 // what they heard some time ago, while a region with few servers sends the most.
-func TestRegionShiftWithOldNews(t *testing.T) { testShifts(t, "shift-stale.yaml") }
+func TestRegionShiftWithOldNews(t *testing.T) {
+	t.Parallel()
+	testShifts(t, "shift-stale.yaml")
+}
 
 // Requests leave a region at once when its servers crash, fail or are evacuated, whatever
 // the cap: callers would get nothing there.
--- a/pkg/placer/spread_test.go
+++ b/pkg/placer/spread_test.go
@@ -21,6 +21,7 @@
 // Requests without an object are spread over the servers near the host that receives
 // them: no server gets all of them while its neighbours are idle.
 func TestRequestsWithoutObjectsAreSpread(t *testing.T) {
+	t.Parallel()
 	var cases []spreadCase
 	readCases(t, "spread.yaml", &cases)
 	for _, c := range cases {
--- a/pkg/placer/stalefailures_test.go
+++ b/pkg/placer/stalefailures_test.go
@@ -100,13 +100,17 @@
 
 // A server whose figures are always the same is neither overrun nor emptied by them.
 func TestFalseLoads(t *testing.T) {
+	t.Parallel()
 	for name, lies := range map[string]placer.Load{"always 0": {}, "always full": {Running: 6, Waiting: 18}} {
 		t.Run(name, func(t *testing.T) { testFalseLoad(t, lies) })
 	}
 }
 
 // The same with the largest figure that the platform lets through.
-func TestAbsurdLoad(t *testing.T) { testFalseLoad(t, placer.Load{Running: 1 << 20}) }
+func TestAbsurdLoad(t *testing.T) {
+	t.Parallel()
+	testFalseLoad(t, placer.Load{Running: 1 << 20})
+}
 
 func testFalseLoad(t *testing.T, lies placer.Load) {
 	is := is.New(t)
@@ -123,6 +127,7 @@
 // When gossip stops, hosts decide by their own requests once the records of others are
 // forgotten, and refuse nothing beside idle servers.
 func TestGossipStops(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newSimulation(staleWorkload(t), 1)
 	sim.failures = failures{silentFrom: 8 * time.Second}
@@ -135,6 +140,7 @@
 // No request is refused while a server that could take it was idle for longer than the
 // news is old, also if fewer objects are asked for than there are servers.
 func TestNoRefusalBesideIdleServers(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	w := staleWorkload(t)
 	w.Servers, w.Objects, w.Rate = map[string]int{"a1": 3, "a2": 2, "c1": 3, "c2": 2}, 6, 260
--- a/pkg/placer/uneven_test.go
+++ b/pkg/placer/uneven_test.go
@@ -10,6 +10,7 @@
 // less than 0.7 of what all callers get on time, also while the demand of the regions
 // rises and falls one after the other.
 func TestCallersOfASmallRegion(t *testing.T) {
+	t.Parallel()
 	var workloads []workload
 	readCases(t, "uneven.yaml", &workloads)
 	for _, w := range workloads {
