placer: share runs between parallel tests

The runs that several tests of priorities check were kept in a map, which the tests now read and write side by side. Each run is made once, by the first test that needs it.

--- a/pkg/placer/priority_test.go
+++ b/pkg/placer/priority_test.go
@@ -207,22 +207,28 @@
 	}
 }
 
-var priorityRuns = map[string]priorityRun{} // several tests check the same ones
+// priorityRuns holds the runs that several tests check.
+var priorityRuns sync.Map // of *lazyRun, by workload and failures
+
+// lazyRun is a run that the first test that needs it makes.
+type lazyRun struct {
+	once sync.Once
+	run  priorityRun
+}
 
 func priorityRunOf(l workload, fail failures) priorityRun {
-	key := fmt.Sprint(l.Name, fail)
-	r, ok := priorityRuns[key]
-	if !ok {
-		r = priorityRun{newSimulation(l, *prioritySeed), newSimulation(withoutPriorities(l), *prioritySeed), l.Kinds}
+	entry, _ := priorityRuns.LoadOrStore(fmt.Sprint(l.Name, fail), &lazyRun{})
+	lazy := entry.(*lazyRun)
+	lazy.once.Do(func() {
+		lazy.run = priorityRun{newSimulation(l, *prioritySeed), newSimulation(withoutPriorities(l), *prioritySeed), l.Kinds}
 		var both sync.WaitGroup
-		for _, sim := range []*simulation{r.with, r.without} {
+		for _, sim := range []*simulation{lazy.run.with, lazy.run.without} {
 			sim.failures = fail
 			both.Go(func() { sim.run() })
 		}
 		both.Wait()
-		priorityRuns[key] = r
-	}
-	return r
+	})
+	return lazy.run
 }
 
 // runPriorities simulates the workloads of a file and lets a function check them.
