dispatcher, controller: log the weights of routes and what decided a request's service

Cause of the change: no log line says which weights were in force or what a host counted when it chose the service of a request, so the hypotheses of the incident cannot be told apart.

A host now logs routes whose weights changed, at most 50 per configuration, and the request's line says for divided routes at which point of the weights the request lay, whether it was corrected, and the counts.

--- a/internal/controller/config.go
+++ b/internal/controller/config.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -78,6 +80,7 @@
 // activateConfig puts a configuration into force.
 func (l *loop) activateConfig(now time.Duration, item storer.Item, catalog *cataloger.Catalog) {
 	logRateChanges(l.config.catalog, catalog)
+	logWeightChanges(l.config.catalog, catalog)
 	l.config.catalog, l.config.item, l.config.appliedAt = catalog, item, now
 	klog.InfoS("configuration applied", "config", catalog.Generation(), "revision", item.Revision(),
 		"routes", len(catalog.Routes()), "services", len(catalog.Services()), "workspaces", len(catalog.Workspaces()))
@@ -131,3 +134,40 @@
 		}
 	}
 }
+
+// maxWeightLines limits the log lines about weights per configuration.
+const maxWeightLines = 50
+
+// logWeightChanges logs each route that divides its requests among several services if
+// these or their weights changed.
+func logWeightChanges(before, after *cataloger.Catalog) {
+	weights := map[string]string{}
+	if before != nil {
+		for _, route := range before.Routes() {
+			weights[route.Name()] = formatWeights(route)
+		}
+	}
+	changed := 0
+	for _, route := range after.Routes() {
+		now := formatWeights(route)
+		if len(route.Splits()) < 2 || now == weights[route.Name()] {
+			continue
+		}
+		if changed++; changed <= maxWeightLines {
+			klog.InfoS("route weights changed", "route", route.Name(), "host", route.Host(), "prefix", route.Prefix(),
+				"weights", now, "before", weights[route.Name()], "homes", route.HomeRegions(), "config", after.Generation())
+		}
+	}
+	if changed > maxWeightLines {
+		klog.InfoS("weights of further routes changed", "routes", changed-maxWeightLines, "config", after.Generation())
+	}
+}
+
+// formatWeights returns the services of a route and their weights for the log.
+func formatWeights(route *cataloger.Route) string {
+	texts := make([]string, len(route.Splits()))
+	for i, split := range route.Splits() {
+		texts[i] = fmt.Sprintf("%s:%g", split.Service(), split.Weight())
+	}
+	return strings.Join(texts, "+")
+}
--- a/internal/dispatcher/admission.go
+++ b/internal/dispatcher/admission.go
@@ -50,7 +50,8 @@
 		}
 		c.workspace = c.snapshot.catalog.Workspace(key.Workspace())
 	}
-	c.service = c.dispatcher.splitter.choose(c.route, c.object, rand.Float64())
+	c.split = c.dispatcher.splitter.choose(c.route, c.object, rand.Float64())
+	c.service = c.split.service
 	return c.charge()
 }
 
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -45,6 +45,7 @@
 	route         *cataloger.Route
 	workspace     *cataloger.Workspace // nil on open routes
 	service       string
+	split         splitChoice   // what decided the service
 	object        string        // from the cookie; "" if there is none
 	deadline      time.Duration // latest time for the response, on the host's clock
 	body          *forwarder.Body
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -166,7 +166,7 @@
 		version = c.snapshot.catalog.Generation()
 	}
 	klog.InfoS("request", "id", c.id, "outcome", outcome, "status", status, "reason", reason,
-		"digest", c.loggedDigest(), "relayedBy", c.relayedBy, "route", route, "workspace", c.latencyKey().Workspace, "service", c.service, "object", c.object,
+		"digest", c.loggedDigest(), "relayedBy", c.relayedBy, "route", route, "workspace", c.latencyKey().Workspace, "service", c.service, "split", c.split, "object", c.object,
 		"tries", c.attemptLog, "rank", c.lastPick.Rank(), "load", c.lastPick.Load(),
 		"expected", c.lastPick.Expected().Round(time.Millisecond), "took", (now - c.startedAt).Round(time.Millisecond),
 		"config", version, "configAge", (now - c.snapshot.appliedAt).Round(time.Millisecond), "phase", c.snapshot.phase)
--- a/internal/dispatcher/splitter.go
+++ b/internal/dispatcher/splitter.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,12 +28,30 @@
 	return &splitter{counts: map[string]map[string]float64{}}
 }
 
+// splitChoice is the service chosen for a request of a route with several services, and
+// what decided it.
+type splitChoice struct {
+	service   string
+	point     float64 // of the request in the weights' intervals, in [0, 1)
+	corrected bool    // another service was behind its weight
+	counts    string  // earlier requests of the route on this host, by service
+}
+
+// String returns the choice as the log line of the request shows it; it is empty for a
+// route with one service.
+func (c splitChoice) String() string {
+	if c.counts == "" {
+		return ""
+	}
+	return fmt.Sprintf("point=%.3f corrected=%t counted=%s", c.point, c.corrected, c.counts)
+}
+
 // choose returns the service for a request. The draw, a random number in [0, 1),
 // decides if the request has no object; otherwise a hash of the object does.
-func (s *splitter) choose(route *cataloger.Route, object string, draw float64) string {
+func (s *splitter) choose(route *cataloger.Route, object string, draw float64) splitChoice {
 	splits := route.Splits()
 	if len(splits) == 1 {
-		return splits[0].Service()
+		return splitChoice{service: splits[0].Service()}
 	}
 	if object != "" {
 		draw = float64(xxhash.Sum64String(route.Name()+"\x00"+object)>>11) / (1 << 53)
@@ -41,7 +61,7 @@
 		total += split.Weight()
 	}
 	if total <= 0 {
-		return splits[0].Service()
+		return splitChoice{service: splits[0].Service()}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -50,15 +70,24 @@
 		counts = map[string]float64{}
 		s.counts[route.Name()] = counts
 	}
-	chosen := serviceAt(splits, draw*total)
-	if lagging := furthestBelowWeight(splits, counts, total, chosen); lagging != "" {
-		chosen = lagging
+	choice := splitChoice{service: serviceAt(splits, draw*total), point: draw, counts: formatCounts(splits, counts)}
+	if lagging := furthestBelowWeight(splits, counts, total, choice.service); lagging != "" {
+		choice.service, choice.corrected = lagging, true
 	}
 	for service := range counts {
 		counts[service] *= countDecay
 	}
-	counts[chosen]++
-	return chosen
+	counts[choice.service]++
+	return choice
+}
+
+// formatCounts returns the request counts of services for the log.
+func formatCounts(splits []cataloger.Split, counts map[string]float64) string {
+	texts := make([]string, len(splits))
+	for i, split := range splits {
+		texts[i] = fmt.Sprintf("%s:%.1f", split.Service(), counts[split.Service()])
+	}
+	return strings.Join(texts, "+")
 }
 
 // serviceAt returns the service whose interval contains the point, where the
