dispatcher: divide requests by weights without counting earlier choices

Cause: a host corrected its choices by counts that it kept for the name of the route.

A request lies at a position of its object's interval that does not depend on the objects, so points are uniform and the shares are the weights in any number of requests. The demand is kept by host and prefix of the route, not by its name. Objects of routes without sticky sessions are ignored. Weights of any size are divided without overflow.

--- a/internal/dispatcher/admission.go
+++ b/internal/dispatcher/admission.go
@@ -50,7 +50,11 @@
 		}
 		c.workspace = c.snapshot.catalog.Workspace(key.Workspace())
 	}
-	c.split = c.dispatcher.splitter.choose(c.route, c.object, rand.Float64())
+	object := ""
+	if c.route.StickySessions() {
+		object = c.object // only then backend servers are faster with an object that they know
+	}
+	c.split = c.dispatcher.splitter.choose(c.route, object, rand.Float64())
 	c.service = c.split.service
 	return c.charge()
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -213,7 +213,11 @@
 }
 
 // SetSnapshot replaces the snapshot that new requests are served under.
-func (c *Dispatcher) SetSnapshot(s *Snapshot) { c.snapshot.Store(s) }
+func (c *Dispatcher) SetSnapshot(s *Snapshot) {
+	if before := c.snapshot.Swap(s); s.catalog != nil && s.catalog != before.catalog {
+		c.splitter.retain(s.catalog.Routes())
+	}
+}
 
 // SetRetries changes the limit on retries.
 func (c *Dispatcher) SetRetries(r Retries) {
--- a/internal/dispatcher/splitter.go
+++ b/internal/dispatcher/splitter.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"strings"
+	"math"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,122 +10,158 @@
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
 )
 
-const (
-	maxExcessShare = 0.02  // share of the requests by which a service may exceed its weight
-	countDecay     = 0.995 // factor applied per request; about the last 200 requests count
-	minCount       = 10    // decayed number of requests before deviations are corrected
-)
-
-// splitter divides the requests of a route among services by their weights. It
-// sends the requests for an object to the same service as far as the weights
-// allow, because that service is warm for the object.
+// splitter divides the requests of a route among services by their weights. It sends
+// the requests for an object to the same service as far as the weights allow, because
+// that service is warm for the object.
+//
+// The weights divide the interval [0, 1) among the services. The objects, in the order of
+// a hash that is the same on all hosts, divide it by the demand for them. A request lies
+// at some point of its object's interval. These points are uniform, whatever the
+// objects are, so the services get their shares of any requests: of the first ones under
+// new weights, and of few requests on many hosts. No choice depends on earlier choices.
 type splitter struct {
-	mu     sync.Mutex
-	counts map[string]map[string]float64 // decayed request counts by route and service
+	mu      sync.Mutex
+	demands map[demandKey]*objectDemand // of routes with several services
+}
+
+// demandKey identifies what callers ask for. The names of routes are reused.
+type demandKey struct {
+	host, prefix string
 }
 
 func newSplitter() *splitter {
-	return &splitter{counts: map[string]map[string]float64{}}
+	return &splitter{demands: map[demandKey]*objectDemand{}}
 }
 
 // splitChoice is the service chosen for a request of a route with several services, and
 // what decided it.
 type splitChoice struct {
-	service   string
-	point     float64 // of the request in the weights' intervals, in [0, 1)
-	corrected bool    // another service was behind its weight
-	counts    string  // earlier requests of the route on this host, by service
+	service  string
+	divided  bool     // the route has several services
+	interval interval // of the request's object
+	point    float64  // of the request, in its object's interval
 }
 
 // String returns the choice as the log line of the request shows it; it is empty for a
 // route with one service.
 func (c splitChoice) String() string {
-	if c.counts == "" {
+	if !c.divided {
 		return ""
 	}
-	return fmt.Sprintf("point=%.3f corrected=%t counted=%s", c.point, c.corrected, c.counts)
+	return fmt.Sprintf("point=%.3f object=%.3f+%.3f", c.point, c.interval.start, c.interval.length)
 }
 
-// choose returns the service for a request. The draw, a random number in [0, 1),
-// decides if the request has no object; otherwise a hash of the object does.
+// choose returns the service for a request. The draw is a random number in [0, 1).
 func (s *splitter) choose(route *cataloger.Route, object string, draw float64) splitChoice {
 	splits := route.Splits()
 	if len(splits) == 1 {
 		return splitChoice{service: splits[0].Service()}
 	}
-	if object != "" {
-		draw = float64(xxhash.Sum64String(route.Name()+"\x00"+object)>>11) / (1 << 53)
-	}
-	total := 0.0
-	for _, split := range splits {
-		total += split.Weight()
-	}
-	if total <= 0 {
-		return splitChoice{service: splits[0].Service()}
-	}
+	key := demandKey{host: route.Host(), prefix: route.Prefix()}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	counts := s.counts[route.Name()]
-	if counts == nil {
-		counts = map[string]float64{}
-		s.counts[route.Name()] = counts
-	}
-	choice := splitChoice{service: serviceAt(splits, draw*total), point: draw, counts: formatCounts(splits, counts)}
-	if lagging := furthestBelowWeight(splits, counts, total, choice.service); lagging != "" {
-		choice.service, choice.corrected = lagging, true
+	demand := s.demands[key]
+	if demand == nil {
+		demand = &objectDemand{position: draw}
+		s.demands[key] = demand
 	}
-	for service := range counts {
-		counts[service] *= countDecay
+	place, position := interval{length: 1}, demand.nextPosition()
+	if object != "" {
+		place = demand.add(xxhash.Sum64String(route.Prefix() + "\x00" + object))
 	}
-	counts[choice.service]++
-	return choice
+	s.mu.Unlock()
+	point := place.start + place.length*position
+	return splitChoice{service: serviceAt(splits, point), divided: true, interval: place, point: point}
 }
 
-// formatCounts returns the request counts of services for the log.
-func formatCounts(splits []cataloger.Split, counts map[string]float64) string {
-	texts := make([]string, len(splits))
-	for i, split := range splits {
-		texts[i] = fmt.Sprintf("%s:%.1f", split.Service(), counts[split.Service()])
+// retain forgets the demand on routes that do not exist or have one service.
+func (s *splitter) retain(routes []*cataloger.Route) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.demands) == 0 {
+		return
 	}
-	return strings.Join(texts, "+")
-}
-
-// serviceAt returns the service whose interval contains the point, where the
-// intervals of the services follow one another and are as long as their weights.
-func serviceAt(splits []cataloger.Split, point float64) string {
-	for _, split := range splits {
-		if point < split.Weight() {
-			return split.Service()
+	kept := make(map[demandKey]*objectDemand, len(s.demands))
+	for _, route := range routes {
+		key := demandKey{host: route.Host(), prefix: route.Prefix()}
+		if demand := s.demands[key]; demand != nil && len(route.Splits()) > 1 {
+			kept[key] = demand
 		}
-		point -= split.Weight()
 	}
-	return splits[len(splits)-1].Service()
+	s.demands = kept
 }
 
-// furthestBelowWeight returns the service whose share of the requests is furthest
-// below its weight if the chosen service exceeds its own weight by too much.
-// Otherwise it returns "".
-func furthestBelowWeight(splits []cataloger.Split, counts map[string]float64, total float64, chosen string) string {
-	sum := 0.0
+// serviceAt returns the service whose interval contains the point, where the intervals of
+// the services divide [0, 1) by their weights. Weights below 0 count as 0.
+func serviceAt(splits []cataloger.Split, point float64) string {
+	largest, total := 0.0, 0.0
 	for _, split := range splits {
-		sum += counts[split.Service()]
+		largest = max(largest, split.Weight())
 	}
-	if sum < minCount {
-		return ""
+	if largest <= 0 {
+		return splits[0].Service()
 	}
-	lagging, lowestDeviation := "", 0.0
-	over := false
 	for _, split := range splits {
-		deviation := counts[split.Service()]/sum - split.Weight()/total
-		if split.Service() == chosen && deviation > maxExcessShare {
-			over = true
+		total += max(split.Weight(), 0) / largest // no sum of weights overflows
+	}
+	point *= total
+	last := ""
+	for _, split := range splits {
+		weight := max(split.Weight(), 0) / largest
+		if weight > 0 {
+			last = split.Service()
 		}
-		if deviation < lowestDeviation {
-			lagging, lowestDeviation = split.Service(), deviation
+		if point < weight {
+			break
 		}
+		point -= weight
 	}
-	if !over {
-		return ""
+	return last
+}
+
+const (
+	bucketBits   = 8   // of an object's hash; objects with the same ones are treated as one
+	minDemand    = 20  // requests of which the demand for objects can be told
+	maxDemand    = 400 // requests that count; the older ones count less
+	positionStep = math.Phi - 1
+)
+
+// interval is a part of [0, 1).
+type interval struct {
+	start, length float64
+}
+
+// objectDemand is the demand for the objects of a route, in the order of their hashes.
+type objectDemand struct {
+	counts   [1 << bucketBits]float64 // recent requests, by the highest bits of the object's hash
+	total    float64                  // of all counts
+	position float64                  // of the latest request in its object's interval
+}
+
+// nextPosition returns the position of the next request in its object's interval, as a
+// share of the interval. Positions are an additive sequence with a random start.
+func (d *objectDemand) nextPosition() float64 {
+	d.position = math.Mod(d.position+positionStep, 1)
+	return d.position
+}
+
+// add counts a request for an object and returns the interval of that object. It is the
+// whole of [0, 1) while the demand is not known.
+func (d *objectDemand) add(hash uint64) interval {
+	if d.total >= maxDemand {
+		for i := range d.counts {
+			d.counts[i] /= 2
+		}
+		d.total /= 2
+	}
+	bucket := hash >> (64 - bucketBits)
+	d.counts[bucket]++
+	d.total++
+	if d.total < minDemand {
+		return interval{length: 1}
+	}
+	before := 0.0
+	for _, count := range d.counts[:bucket] {
+		before += count
 	}
-	return lagging
+	return interval{start: before / d.total, length: d.counts[bucket] / d.total}
 }
--- a/internal/dispatcher/splitter_test.go
+++ b/internal/dispatcher/splitter_test.go
@@ -168,3 +168,43 @@
 	t.Logf("%.3f of the requests are at another service than most for their object", float64(scattered)/float64(all))
 	is.True(float64(scattered) <= maxScatter*float64(all))
 }
+
+// Guards against memory that grows with the routes of all configurations.
+func TestDemandOnRoutesThatAreNotDividedIsForgotten(t *testing.T) {
+	is := is.New(t)
+	s := newSplitter()
+	divided := weightPhase{Weights: map[string]float64{"desk": 1, "archive": 1}, Path: "/a/"}.route("a")
+	removed := weightPhase{Weights: map[string]float64{"desk": 1, "archive": 1}, Path: "/b/"}.route("b")
+	undivided := weightPhase{Weights: map[string]float64{"desk": 1}, Path: "/b/"}.route("b")
+	s.choose(divided, "1", 0)
+	s.choose(removed, "1", 0)
+	s.choose(undivided, "1", 0)
+	is.Equal(len(s.demands), 2)
+	s.retain([]*cataloger.Route{divided, undivided})
+	is.Equal(len(s.demands), 1)
+	is.True(s.demands[demandKey{host: "shop", prefix: "/a/"}] != nil)
+}
+
+// Guards against sums of weights that overflow, and against services without a weight.
+func TestWeightsOfAnySizeDivideTheInterval(t *testing.T) {
+	for _, c := range []struct {
+		weights []float64
+		point   float64
+		service int
+	}{
+		{[]float64{math.MaxFloat64, math.MaxFloat64}, 0.49, 0},
+		{[]float64{math.MaxFloat64, math.MaxFloat64}, 0.51, 1},
+		{[]float64{5e-324, 5e-324}, 0.51, 1},
+		{[]float64{1, 0}, math.Nextafter(1, 0), 0},
+		{[]float64{0, 1}, 0, 1},
+		{[]float64{-1, 1}, 0, 1},
+		{[]float64{0, 0}, 0.7, 0},
+	} {
+		is := is.New(t)
+		var splits []cataloger.Split
+		for i, weight := range c.weights {
+			splits = append(splits, cataloger.NewSplit(strconv.Itoa(i), weight))
+		}
+		is.Equal(serviceAt(splits, c.point), strconv.Itoa(c.service)) // the service of the weights
+	}
+}
