--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -18,6 +18,7 @@
 	flushInterval     = 200 * time.Millisecond // lines are written in batches, for fewer system calls
 	maxLinesPerSecond = 400                    // ten lines per request at 40 requests per second on a host
 	maxLineBurst      = 2000                   // lines that may exceed the rate at once
+	maxLineBytes      = 8 << 10                // a line may name what other writers chose
 )
 
 // Writer buffers log lines for an output.
@@ -38,9 +39,13 @@
 	return &Writer{out: out, prefix: host + " ", limiter: rate.NewLimiter(maxLinesPerSecond, maxLineBurst)}
 }
 
-// Write buffers one line, or drops and counts it. It never blocks on the output
-// and never fails.
+// Write buffers one line, or drops and counts it. The end of a long line is left out. It
+// never blocks on the output and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
+	written := len(line)
+	if len(line) > maxLineBytes {
+		line = append(bytes.Clone(line[:maxLineBytes]), "...\n"...)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.buffer.Len()+len(w.prefix)+len(line) > maxBufferedBytes || !w.limiter.Allow() {
@@ -53,7 +58,7 @@
 		w.flushPending = true
 		time.AfterFunc(flushInterval, w.Flush)
 	}
-	return len(line), nil
+	return written, nil
 }
 
 // Flush writes the buffered lines, and the number of dropped lines if there are
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -58,3 +58,16 @@
 	is.True(strings.Contains(text, "log lines dropped"))
 	is.True(strings.Count(text, "\n") < lines)
 }
+
+func TestLongLinesAreCut(t *testing.T) {
+	is := is.New(t)
+	out := &lockedOutput{}
+	w := logger.New(out, "h1")
+	n, err := w.Write([]byte(strings.Repeat("x", 100_000) + "\n"))
+	is.NoErr(err)
+	is.Equal(n, 100_001)
+	_, _ = w.Write([]byte("next\n"))
+	w.Flush()
+	is.True(len(out.String()) < 10_000)
+	is.True(strings.HasSuffix(out.String(), "x...\nh1 next\n"))
+}
