--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"magnoliahill.example/magnoliahill/internal/dispatcher"
@@ -30,6 +31,8 @@
 	sweepInterval     = 2 * time.Second         // between sweeps of idle connections and checks for impaired servers
 	longestWatchHosts = 1000                    // host count for which a follower uses its longest watches
 	reloadInterval    = 2 * time.Second         // the settings file may change without a signal
+	rejectionsLogged  = 10                      // first invalid registrations that are logged; then one in rejectionInterval
+	rejectionInterval = time.Second
 )
 
 // loop owns the control state of a daemon. Only its own goroutine accesses the
@@ -55,6 +58,7 @@
 	caches              map[string]*objectCache // by kind
 	config              activeConfig
 	evacuatedZones      []string
+	rejectionLog        rate.Sometimes            // limits the log lines about invalid registrations
 	limited             map[string]float64        // request limits of backend servers at the last check, by id
 	leaving             []string                  // ids of backend servers that left by their answers at the last check
 	impaired            map[string]bool           // ids of backend servers that were impaired at the last check
@@ -117,6 +121,7 @@
 		caches:      map[string]*objectCache{},
 		hostCount:   c.settings.ExpectedHosts,
 
+		rejectionLog:    rate.Sometimes{First: rejectionsLogged, Interval: rejectionInterval},
 		shared:          map[recipientClass]sharedPart{},
 		peerSuspects:    map[string]uint64{},
 		serviceRooms:    map[string]roomChange{},
--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -88,7 +88,10 @@
 func (l *loop) decodeServer(item storer.Item) (registrar.Instance, bool) {
 	instance, err := l.controller.platform.DecodeServer(item)
 	if err != nil {
-		klog.InfoS("invalid backend server registration ignored", "server", item.Name(), "cause", err.Error())
+		l.controller.recorder.Scope().Counter("registrations_rejected").Inc(1)
+		l.rejectionLog.Do(func() {
+			klog.InfoS("invalid backend server registration ignored", "server", item.Name(), "revision", item.Revision(), "cause", err.Error())
+		})
 		return registrar.Instance{}, false
 	}
 	return instance, true
