limiter: hold limits of any size

Looking at every value that another writer chooses, after the report of a number too large among the backend servers: a workspace whose RatePerS is 1e7, and whose bucket is not used for an hour, ended the process of every host (integer overflow in the refill), 1e9 within seconds; larger rates and cold rates became token units by a conversion that processors carry out differently.

Token units saturate when they are made of a number (limiter.Units), quotients saturate in place of the panic, and a refill does not add beyond the capacity.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -208,8 +208,8 @@
 func (a *Allocator) resize(now time.Duration, s *localShare) {
 	fraction := a.fraction(s) * (1 + a.overage)
 	amount := limiter.Amount{
-		Rate:     int64(fraction * s.limit.Rate * float64(unit)),
-		Capacity: max(int64(fraction*s.limit.Burst*float64(unit)), unit),
+		Rate:     limiter.Units(fraction * s.limit.Rate),
+		Capacity: max(limiter.Units(fraction*s.limit.Burst), unit),
 	}
 	if s.bucket == nil {
 		s.bucket = limiter.NewBucket(amount, int64(initialFill*float64(amount.Capacity)), now)
--- a/pkg/allocator/fallback.go
+++ b/pkg/allocator/fallback.go
@@ -21,7 +21,7 @@
 // resizeFallback sets the rate of the fallback bucket, which starts empty.
 func (a *Allocator) resizeFallback(now time.Duration, s *localShare) {
 	amount := limiter.Amount{
-		Rate:     int64(fallbackFraction * s.limit.Rate / float64(a.hosts) * float64(unit)),
+		Rate:     limiter.Units(fallbackFraction * s.limit.Rate / float64(a.hosts)),
 		Capacity: unit,
 	}
 	if s.fallback.bucket == nil {
@@ -38,7 +38,7 @@
 // get theirs one after another.
 func (a *Allocator) fallbackStart(s *localShare) int64 {
 	phase := float64(xxhash.Sum64String(a.host+"\x00"+s.limit.Name)>>11) / (1 << 53)
-	return int64((phase + fallbackFraction*s.limit.Burst/float64(a.hosts)) * float64(unit))
+	return limiter.Units(phase + fallbackFraction*s.limit.Burst/float64(a.hosts))
 }
 
 // beginFallback limits the tokens at the first charge of an outage.
--- a/pkg/limiter/bucket.go
+++ b/pkg/limiter/bucket.go
@@ -3,6 +3,7 @@
 package limiter
 
 import (
+	"math"
 	"math/bits"
 	"time"
 )
@@ -42,12 +43,32 @@
 // IsZero reports whether rate and capacity are 0.
 func (a Amount) IsZero() bool { return a.Rate == 0 && a.Capacity == 0 }
 
-// mulDiv returns a*num/den, rounded down, for values that are not negative. It
-// panics if den is 0 or the quotient exceeds 64 bits.
+// maxUnits bounds token units that follow from what operators and servers state. Sums of
+// a few of them do not overflow.
+const maxUnits = int64(1) << 58
+
+// Units returns the token units of a number of tokens, at least 0 and at most about 288
+// million tokens.
+func Units(tokens float64) int64 {
+	units := tokens * float64(Unit)
+	switch {
+	case !(units > 0):
+		return 0
+	case units >= float64(maxUnits):
+		return maxUnits
+	}
+	return int64(units)
+}
+
+// mulDiv returns a*num/den, rounded down, for values that are not negative, or the
+// largest number if that is larger. It panics if den is 0.
 func mulDiv(a, num, den int64) int64 {
 	hi, lo := bits.Mul64(uint64(a), uint64(num))
+	if hi >= uint64(den) {
+		return math.MaxInt64
+	}
 	quotient, _ := bits.Div64(hi, lo, uint64(den))
-	return int64(quotient)
+	return int64(min(quotient, math.MaxInt64))
 }
 
 // Bucket is a token bucket. Over any window of length t it admits
@@ -121,7 +142,7 @@
 	if n > b.amount.Capacity || b.amount.Rate == 0 {
 		return 0, false
 	}
-	return time.Duration(mulDiv(missing, int64(time.Second), b.amount.Rate)) + 1, true
+	return time.Duration(min(mulDiv(missing, int64(time.Second), b.amount.Rate), math.MaxInt64-1)) + 1, true
 }
 
 // refill adds the tokens earned since the last call. It has no effect if
@@ -133,7 +154,11 @@
 	}
 	b.last = now
 	gained := mulDiv(b.amount.Rate, int64(elapsed), int64(time.Second))
-	b.tokens = min(b.tokens+gained, b.amount.Capacity)
+	if gained >= b.amount.Capacity-b.tokens {
+		b.tokens = b.amount.Capacity
+		return
+	}
+	b.tokens += gained
 }
 
 // Refund returns n token units that were taken, up to the capacity.
--- a/pkg/limiter/bucket_test.go
+++ b/pkg/limiter/bucket_test.go
@@ -1,6 +1,7 @@
 package limiter_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -54,3 +55,23 @@
 		}
 	})
 }
+
+// Guards against a process that ends because a limit is larger than its arithmetic holds.
+func TestLimitsOfAnySizeAreHeld(t *testing.T) {
+	is := is.New(t)
+	for _, rate := range []float64{-1, 0, 1e-9, 1, 1e7, 1e9, 1e12, 1e300, math.Inf(1)} {
+		for _, burst := range []float64{-1, 0, 1, 1e9, 1e300, math.Inf(1)} {
+			amount := limiter.Amount{Rate: limiter.Units(rate), Capacity: limiter.Units(burst)}
+			b := limiter.NewBucket(amount, 0, 0)
+			is.Equal(b.Take(0, limiter.Unit), false) // it begins empty
+			wait, ok := b.Wait(0, limiter.Unit)
+			is.True(!ok || wait > 0)
+			admitted := b.Take(100*time.Hour, limiter.Unit)
+			is.Equal(admitted, rate >= 1 && burst >= 1)
+			b.Charge(100*time.Hour, 1000*limiter.Unit)
+			wait, ok = b.Wait(100*time.Hour, limiter.Unit)
+			is.True(!ok || wait >= 0)
+			is.True(b.Tokens(1e6*time.Hour) <= amount.Capacity)
+		}
+	}
+}
--- a/pkg/placer/coldlimit.go
+++ b/pkg/placer/coldlimit.go
@@ -57,13 +57,13 @@
 // newAllowance returns the share of a host in the limit of a server.
 func (l *coldLimiter) newAllowance(now time.Duration, s *server, self string, hosts []string) *allowance {
 	limit := coldRateShare * (s.coldRate*l.factor + l.slack)
-	senders := max(1, min(maxColdSenders, len(hosts), int(limit/2)))
+	senders := max(1, min(maxColdSenders, len(hosts), int(min(limit/2, maxColdSenders))))
 	if senderRank(s.ID(), self, hosts) >= senders {
 		return &allowance{}
 	}
 	// Within one second a bucket admits its capacity plus its rate.
 	rate := max(limit/float64(senders)-1, limit/float64(2*senders))
-	amount := limiter.Amount{Rate: int64(rate * float64(limiter.Unit)), Capacity: limiter.Unit}
+	amount := limiter.Amount{Rate: limiter.Units(rate), Capacity: limiter.Unit}
 	return &allowance{bucket: limiter.NewBucket(amount, limiter.Unit, now)}
 }
 
--- a/pkg/placer/limit.go
+++ b/pkg/placer/limit.go
@@ -69,7 +69,7 @@
 		tokens = l.bucket.Tokens(now)
 	}
 	rate := max(limitShare*perSecond, minLimitRate) / float64(limitSenders(perSecond))
-	l.bucket = limiter.NewBucket(limiter.Amount{Rate: int64(rate * float64(limiter.Unit)), Capacity: limiter.Unit}, tokens, now)
+	l.bucket = limiter.NewBucket(limiter.Amount{Rate: limiter.Units(rate), Capacity: limiter.Unit}, tokens, now)
 }
 
 // limitSenders returns the number of hosts that send to a server with a limit.
