dispatcher: close the running backend server last in a test of crashes

TestOnlyCrashesOfReachableFleetsRaiseSuspicion, "no backend server can be reached", failed once beside other tests. Cause: it closed the servers in the order of their list; if the running one came first, the others still accepted for a moment, and a suspicion was right.

--- a/internal/dispatcher/quarantine_test.go
+++ b/internal/dispatcher/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -27,6 +28,13 @@
 	}
 }
 
+// runningLast returns the backend servers with the running one last: as long as that one
+// has its connection, the host does not check whether another one accepts it.
+func (s *testHost) runningLast(running *target.Responder) []*target.Responder {
+	all := slices.DeleteFunc(slices.Clone(s.backends), func(t *target.Responder) bool { return t == running })
+	return append(all, running)
+}
+
 func TestOnlyCrashesOfReachableFleetsRaiseSuspicion(t *testing.T) {
 	for name, c := range map[string]struct {
 		fault     target.Fault
@@ -35,7 +43,7 @@
 	}{
 		"the backend server crashes":         {target.Hang, func(_ *testHost, running *target.Responder) []*target.Responder { return []*target.Responder{running} }, true},
 		"only the connection breaks":         {target.Reset, func(*testHost, *target.Responder) []*target.Responder { return nil }, false},
-		"no backend server can be reached":   {target.Hang, func(s *testHost, _ *target.Responder) []*target.Responder { return s.backends }, false},
+		"no backend server can be reached":   {target.Hang, (*testHost).runningLast, false},
 		"the answer of the server is broken": {target.Garbage, func(*testHost, *target.Responder) []*target.Responder { return nil }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
