roundtripper, forwarder: believe no refusal that may be a copy of an earlier one

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that had run, or such a request ran at a second server. It can happen here: a response without an ID and a signature was taken for that of the request under way, a 421 as well; so was a refusal of the same request when that was sent to the server again on the same connection.

Servers echo the ID. A response without one is accepted only as the first on its connection, where nothing precedes it; elsewhere it is skipped like one of another request. Several IDs are none. A connection keeps hashes of the IDs of its refused requests, 16 at most, and does not carry these again. The link between hosts that relay uses the same code, and responses passed on always carry the ID of the request. The client of "serve" no longer believes a refusal without an ID on a used connection. Our stand-in for servers echoes the ID in refusals, as the platform's do.

Evidence: TestRepeatedRefusalIsNotTakenForThatOfALaterRequest failed in 9 of 10 cases and passes; TestRepeatedRefusalWithoutAnIDIsNotBelieved failed and passes.

--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -68,10 +68,9 @@
 	if connection != "" {
 		headers.Set("Connection", connection)
 	}
-	for _, name := range []string{names.RequestID, names.ResponseStamp} {
-		if values := resp.Header[name]; len(values) > 0 {
-			headers[name] = values
-		}
+	headers.Set(names.RequestID, c.id)
+	if values := resp.Header[names.ResponseStamp]; len(values) > 0 {
+		headers[names.ResponseStamp] = values
 	}
 	if _, ok := headers["Content-Type"]; !ok {
 		headers["Content-Type"] = nil // prevents net/http from sniffing the content type
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -89,10 +89,11 @@
 
 // trace records the connection of an attempt and whether any byte was written.
 type trace struct {
-	mu    sync.Mutex
-	conn  *conn
-	mark  int64 // bytes written on conn before the attempt
-	wrote bool  // bytes of the attempt were written on a connection that is sealed now
+	mu     sync.Mutex
+	reused bool // the connection has carried an earlier request
+	conn   *conn
+	mark   int64 // bytes written on conn before the attempt
+	wrote  bool  // bytes of the attempt were written on a connection that is sealed now
 }
 
 // gotConn is the GotConn hook of the client trace. The transport may call it more
@@ -103,12 +104,20 @@
 	if t.conn != nil {
 		t.wrote = t.conn.seal(t.mark) || t.wrote
 	}
+	t.reused = info.Reused
 	t.conn, _ = info.Conn.(*conn)
 	if t.conn != nil {
 		t.mark = t.conn.mark()
 	}
 }
 
+// onReusedConn reports whether the connection has carried an earlier request.
+func (t *trace) onReusedConn() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reused
+}
+
 // sealAndReportWritten seals the connection, so that no further bytes of the
 // attempt are sent, and reports whether any were written before.
 func (t *trace) sealAndReportWritten() bool {
@@ -145,7 +154,7 @@
 		}
 		return nil, errors.Wrap(err, "no answer from backend server")
 	}
-	if err := f.checkResponse(req, resp); err != nil {
+	if err := f.checkResponse(req, resp, t.onReusedConn()); err != nil {
 		_, _ = io.CopyN(io.Discard, resp.Body, maxResponseHeader)
 		_ = resp.Body.Close()
 		return nil, err
@@ -161,13 +170,15 @@
 }
 
 // checkResponse returns an error if the response belongs to another request or
-// reports that the request was shed.
-func (f *Forwarder) checkResponse(req *http.Request, resp *http.Response) error {
+// reports that the request was shed. Without an ID, a refusal on a connection that was
+// used before may be a copy of an earlier one.
+func (f *Forwarder) checkResponse(req *http.Request, resp *http.Response, reused bool) error {
 	echoed := resp.Header.Get(header.DispatchID)
-	if echoed != "" && echoed != req.Header.Get(header.DispatchID) {
+	shed := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(header.NotRun) == "1"
+	switch {
+	case echoed != "" && echoed != req.Header.Get(header.DispatchID), shed && echoed == "" && reused:
 		return ErrMismatched
-	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(header.NotRun) == "1" {
+	case shed:
 		return ErrShed
 	}
 	return nil
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -154,6 +154,19 @@
 	is.True(errors.Is(send(forwarder.New(), r, ""), forwarder.ErrMismatched))
 }
 
+// Guards against telling callers "not run" for a request that the backend server ran.
+func TestRepeatedRefusalWithoutAnIDIsNotBelieved(t *testing.T) {
+	is := is.New(t)
+	s := startRawServer(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
+		return respond(conn, "503 Busy\r\n"+header.NotRun+": 1")
+	})
+	f := forwarder.New()
+	is.True(errors.Is(send(f, newRequest(s, http.MethodPost, header.DispatchID, "first"), "x"), forwarder.ErrShed))
+	err := send(f, newRequest(s, http.MethodPost, header.DispatchID, "second"), "x") // on the same connection
+	is.True(err != nil)
+	is.True(!errors.Is(err, forwarder.ErrShed))
+}
+
 func TestBodyIsReplayableUpToLimit(t *testing.T) {
 	is := is.New(t)
 	small := forwarder.NewBody(strings.NewReader("brooms"))
--- a/internal/roundtripper/conn.go
+++ b/internal/roundtripper/conn.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -22,6 +24,23 @@
 	key       string        // pool key of the backend server
 	idleSince time.Time     // when the connection was returned to the pool
 	maxIdle   time.Duration // how long the connection may be idle and still be reused
+	requests  int           // that were sent on the connection
+	refused   []uint64      // hashes of the ids of requests that were refused; at most maxRefused
+}
+
+// maxRefused is the number of refusals after which a connection is not used again.
+const maxRefused = 16
+
+// addRefused records that a request was refused. The backend server may write that refusal
+// once more when a later request is under way.
+func (c *persistConn) addRefused(id string) {
+	c.refused = append(c.refused, xxhash.Sum64String(id))
+}
+
+// hasRefused reports whether a request with the id may have been refused before, so that
+// a repeated refusal could not be told from one of this request.
+func (c *persistConn) hasRefused(id string) bool {
+	return slices.Contains(c.refused, xxhash.Sum64String(id))
 }
 
 func newPersistConn(conn net.Conn, key string) *persistConn {
--- a/internal/roundtripper/response.go
+++ b/internal/roundtripper/response.go
@@ -72,7 +72,7 @@
 		}
 	}
 	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	return x.stopCancel() && !resp.Close && !unframed && x.conn.reader.Buffered() == 0
+	return x.stopCancel() && !resp.Close && !unframed && x.conn.reader.Buffered() == 0 && len(x.conn.refused) < maxRefused
 }
 
 // maxIdleTime returns how long a connection may stay idle: a share of the timeout
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -11,6 +11,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -138,7 +139,7 @@
 // RoundTrip sends a request once and returns the response. Canceling the context
 // aborts the request and the reading of a long response body.
 func (t *RoundTripper) RoundTrip(ctx context.Context, target Target, req *Request) (*Response, error) {
-	conn, err := t.connect(ctx, target, req.Idempotent)
+	conn, err := t.connect(ctx, target, req)
 	if err != nil {
 		return nil, err
 	}
@@ -174,18 +175,21 @@
 // connect returns a pooled connection, or a new one when none can be reused. The
 // backend server may close an idle connection at the moment a request is sent,
 // so requests that cannot be retried reuse only recently used connections.
-func (t *RoundTripper) connect(ctx context.Context, target Target, idempotent bool) (*persistConn, error) {
+func (t *RoundTripper) connect(ctx context.Context, target Target, req *Request) (*persistConn, error) {
 	now := time.Now()
 	share, longest := nonIdempotentIdleShare, time.Duration(math.MaxInt64)
-	if idempotent {
+	if req.Idempotent {
 		share = idempotentIdleShare
 	} else if now.Sub(time.Unix(0, t.brokenAt.Load())) < cautiousPeriod {
 		longest = cautiousIdle
 	}
 	conn, cause := t.pool.get(target.key(), now, share, longest)
-	if conn != nil {
+	if conn != nil && !conn.hasRefused(req.ID) {
 		return conn, nil
 	}
+	if conn != nil {
+		_ = conn.Close()
+	}
 	conn, err := t.pool.dial(ctx, target.Address, target.key(), cause)
 	if err != nil {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
@@ -206,6 +210,7 @@
 // roundTrip sends the request and returns the response. After an error the
 // connection is not used again unless it was released.
 func (x *exchange) roundTrip() (*Response, error) {
+	x.conn.requests++
 	if err := x.send(); err != nil {
 		return nil, errors.Wrap(ErrBadResponse, err.Error())
 	}
@@ -214,6 +219,7 @@
 		return nil, err
 	}
 	if err := x.notRunError(resp); err != nil {
+		x.conn.addRefused(x.req.ID)
 		x.drain(resp)
 		return nil, err
 	}
@@ -328,12 +334,19 @@
 	return nil, errors.Wrap(ErrBadResponse, "too many interim responses")
 }
 
-// isOwn reports whether a response may belong to this request. One that carries
-// the signature of a backend server must also carry the ID of the request: a late
-// copy of an earlier response may be all that arrived.
+// isOwn reports whether a response belongs to this request. It has to carry the ID of the
+// request: a copy of an earlier response may arrive first, or be all that arrives.
+// Without an ID and a signature it is accepted as the first one on its connection, where
+// no earlier response can be copied.
 func (x *exchange) isOwn(resp *http.Response) bool {
-	id := resp.Header.Get(x.roundTripper.headerNames.RequestID)
-	return id == x.req.ID || id == "" && !x.signed(resp)
+	ids := resp.Header.Values(x.roundTripper.headerNames.RequestID)
+	if len(ids) > 1 {
+		return false
+	}
+	if id := strings.Join(ids, ""); id != "" || x.req.ID == "" {
+		return id == x.req.ID
+	}
+	return x.conn.requests == 1 && !x.signed(resp)
 }
 
 // signed reports whether a response has the signature that backend servers add
--- /dev/null
+++ b/internal/roundtripper/roundtripper_test.go
@@ -0,0 +1,141 @@
+package roundtripper_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+
+	"magnoliahill.example/magnoliahill/internal/forwarder"
+	"magnoliahill.example/magnoliahill/internal/roundtripper"
+	"magnoliahill.example/magnoliahill/pkg/header"
+)
+
+var headerNames = header.Names{RequestID: "X-Id", NotRun: "X-Not-Run", ResponseStamp: "X-Signature", ExpectedInstance: "X-Instance"}
+
+// script is what a backend server writes for each request on a connection, by their order;
+// the last text repeats. If closes is set it closes the connection after it.
+type script struct {
+	texts  []string
+	closes bool
+}
+
+// serve starts a backend server that follows the script on every connection and returns
+// its address and the number of connections so far.
+func (s script) serve(t *testing.T) (string, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	dials := &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			dials.Add(1)
+			t.Cleanup(func() { _ = conn.Close() })
+			go s.answer(conn)
+		}
+	}()
+	return listener.Addr().String(), dials
+}
+
+func (s script) answer(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for i := 0; ; i++ {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		text := s.texts[min(i, len(s.texts)-1)]
+		if _, err := io.WriteString(conn, text); err != nil || s.closes {
+			_ = conn.Close()
+			return
+		}
+	}
+}
+
+func newRequest(method, id string) *roundtripper.Request {
+	body := forwarder.NewBody(io.NopCloser(strings.NewReader("")))
+	return &roundtripper.Request{
+		Method: method, RequestURI: "/", Host: "shop", ID: id, Header: http.Header{"X-Id": {id}}, Body: body, Idempotent: method == http.MethodGet,
+	}
+}
+
+const ownResponse = "HTTP/1.1 200 OK\r\nX-Id: b\r\nX-Signature: s\r\nContent-Length: 3\r\n\r\nran"
+
+// Guards against telling callers "not run" for a request that the backend server ran.
+func TestRepeatedRefusalIsNotTakenForThatOfALaterRequest(t *testing.T) {
+	var cases []struct {
+		Name, ID, First, Again string
+		Dials                  int64
+	}
+	data, err := os.ReadFile("testdata/repeats.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := yaml.Unmarshal(data, &cases); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			is := is.New(t)
+			address, dials := script{texts: []string{c.First, c.Again + ownResponse}}.serve(t)
+			rt := roundtripper.New(headerNames, 10)
+			defer rt.Close()
+			target := roundtripper.Target{Address: address, Instance: "i-1"}
+			id := "a"
+			if c.ID != "" {
+				id = c.ID
+			}
+			_, _ = rt.RoundTrip(t.Context(), target, newRequest(http.MethodPost, id))
+			resp, err := rt.RoundTrip(t.Context(), target, newRequest(http.MethodPost, "b"))
+			if dials.Load() == 1 { // otherwise the server begins its script anew
+				is.True(!errors.Is(err, forwarder.ErrShed))
+				is.True(!errors.Is(err, roundtripper.ErrMisdirected))
+				is.True(err != nil || string(resp.Body) == "ran")
+			}
+			is.Equal(dials.Load(), c.Dials) // connections
+		})
+	}
+}
+
+// Guards against waiting for another response where none can precede the first one.
+func TestRefusalWithoutAnIDOnANewConnectionIsBelieved(t *testing.T) {
+	is := is.New(t)
+	address, _ := script{texts: []string{"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"}}.serve(t)
+	rt := roundtripper.New(headerNames, 10)
+	defer rt.Close()
+	_, err := rt.RoundTrip(t.Context(), roundtripper.Target{Address: address, Instance: "i-1"}, newRequest(http.MethodPost, "a"))
+	is.True(errors.Is(err, forwarder.ErrShed))
+}
+
+// Guards against connections that remember refusals without bound.
+func TestConnectionIsReplacedAfterManyRefusals(t *testing.T) {
+	is := is.New(t)
+	texts := make([]string, 16)
+	for i := range texts {
+		texts[i] = "HTTP/1.1 503 Full\r\nX-Id: " + string(rune('a'+i)) + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	address, dials := script{texts: texts}.serve(t)
+	rt := roundtripper.New(headerNames, 10)
+	defer rt.Close()
+	for i := range 32 {
+		_, err := rt.RoundTrip(t.Context(), roundtripper.Target{Address: address, Instance: "i-1"}, newRequest(http.MethodPost, string(rune('a'+i%16))))
+		is.True(errors.Is(err, forwarder.ErrShed))
+	}
+	is.Equal(dials.Load(), int64(2))
+}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -258,15 +258,15 @@
 	}
 	expected := r.Header.Get(t.headers.ExpectedInstance)
 	if fault == Misdirected || (expected != "" && expected != t.instance) {
-		return t.write(conn, "HTTP/1.1 421 Misdirected Request\r\n"+t.headers.ServedBy+": other\r\nContent-Length: 0\r\n\r\n")
+		return t.write(conn, "HTTP/1.1 421 Misdirected Request\r\n"+t.headers.RequestID+": "+id+"\r\n"+t.headers.ServedBy+": other\r\nContent-Length: 0\r\n\r\n")
 	}
 	if fault == StalledShed {
-		t.write(conn, "HTTP/1.1 503 Service Unavailable\r\n"+t.headers.NotRun+": 1\r\nContent-Length: 100\r\n\r\n")
+		t.write(conn, "HTTP/1.1 503 Service Unavailable\r\n"+t.headers.RequestID+": "+id+"\r\n"+t.headers.NotRun+": 1\r\nContent-Length: 100\r\n\r\n")
 		_, _ = io.Copy(io.Discard, conn) // ends when the client closes the connection
 		return false
 	}
 	if fault == Shed {
-		return t.write(conn, "HTTP/1.1 503 Service Unavailable\r\n"+t.headers.NotRun+": 1\r\n"+t.headers.Load+": 1,0,8\r\n"+t.extra()+"Content-Length: 0\r\n\r\n")
+		return t.write(conn, "HTTP/1.1 503 Service Unavailable\r\n"+t.headers.RequestID+": "+id+"\r\n"+t.headers.NotRun+": 1\r\n"+t.headers.Load+": 1,0,8\r\n"+t.extra()+"Content-Length: 0\r\n\r\n")
 	}
 	t.mu.Lock()
 	t.runs = append(t.runs, Execution{Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: string(body), Header: r.Header})
