roundtripper, dispatcher, platform: test responses that are cut after any byte

Reported by other operators: a server stopped in the middle of its response's head and closed, and callers got a 200 with an empty or short body, framed as whole. It cannot happen here; these tests passed at once and stay:

- eleven forms of responses (with a length, chunked, with a trailer, bare line feeds, HTTP/1.0, without a length, after interim and foreign responses), cut after each byte, closed or reset: none is taken as whole, but for bodies that end with a connection that is closed, where a cut cannot be told
- long bodies whose beginning has been passed on
- the same through a whole host and through the link between hosts that relay: no caller gets a part as a whole response

--- a/internal/roundtripper/roundtripper_test.go
+++ b/internal/roundtripper/roundtripper_test.go
@@ -22,10 +22,11 @@
 var headerNames = header.Names{RequestID: "X-Id", NotRun: "X-Not-Run", ResponseStamp: "X-Signature", ExpectedInstance: "X-Instance"}
 
 // script is what a backend server writes for each request on a connection, by their order;
-// the last text repeats. If closes is set it closes the connection after it.
+// the last text repeats. If closes or resets is set it ends the connection after it.
 type script struct {
 	texts  []string
 	closes bool
+	resets bool
 }
 
 // serve starts a backend server that follows the script on every connection and returns
@@ -61,7 +62,11 @@
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		text := s.texts[min(i, len(s.texts)-1)]
-		if _, err := io.WriteString(conn, text); err != nil || s.closes {
+		_, err = io.WriteString(conn, text)
+		if tcp, ok := conn.(*net.TCPConn); ok && s.resets {
+			_ = tcp.SetLinger(0)
+		}
+		if err != nil || s.closes || s.resets {
 			_ = conn.Close()
 			return
 		}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -39,6 +39,7 @@
 	Hang              Fault = "silence"   // executes the request and never responds
 	UnannouncedClose  Fault = "closes"    // responds and closes the connection without announcing it in the response
 	EarlyResponse     Fault = "early"     // responds before it reads the body, and then reads it
+	RawResponse       Fault = "raw"       // writes the text given to SetRawResponse and closes the connection
 	Misdirected       Fault = "elsewhere" // responds as another instance that has taken over the address
 	AnonymousResponse Fault = "anonymous" // sends a signed response without a request ID first
 	EndlessHead       Fault = "endless-head"
@@ -68,6 +69,7 @@
 	crashing      crashing
 	plannedFaults []Fault // of the next responses, in order
 	runs          []Execution
+	rawResponse   string // what the fault RawResponse writes
 	extraHeaders  string // of all responses but misdirected ones; each header ends with a line break
 	requests      int    // received, executed or not
 	connections   int
@@ -168,6 +170,13 @@
 	return t.extraHeaders
 }
 
+// SetRawResponse sets the text that the fault RawResponse writes.
+func (t *Responder) SetRawResponse(text string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rawResponse = text
+}
+
 // Executions returns the executed requests in order.
 func (t *Responder) Executions() []Execution {
 	t.mu.Lock()
@@ -292,6 +301,12 @@
 	switch fault {
 	case NoResponse:
 		return false
+	case RawResponse:
+		t.mu.Lock()
+		raw := t.rawResponse
+		t.mu.Unlock()
+		t.write(conn, raw)
+		return false
 	case Reset:
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
