--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -68,7 +68,9 @@
 	if connection != "" {
 		headers.Set("Connection", connection)
 	}
-	headers.Set(names.RequestID, c.id)
+	if c.id != "" {
+		headers.Set(names.RequestID, c.id)
+	}
 	if values := resp.Header[names.ResponseStamp]; len(values) > 0 {
 		headers[names.ResponseStamp] = values
 	}
