dispatcher: forget the demand for objects when callers turn to others

A host now notices a series of requests for one service whose probability by the weights is below 0.001 (ten requests at weights of 0.5), and begins anew, with points that do not depend on the objects.

--- a/internal/dispatcher/splitter.go
+++ b/internal/dispatcher/splitter.go
@@ -68,9 +68,11 @@
 	if object != "" {
 		place = demand.add(xxhash.Sum64String(route.Prefix() + "\x00" + object))
 	}
-	s.mu.Unlock()
 	point := place.start + place.length*position
-	return splitChoice{service: serviceAt(splits, point), divided: true, interval: place, point: point}
+	service := serviceAt(splits, point)
+	demand.observe(service, share(splits, service))
+	s.mu.Unlock()
+	return splitChoice{service: service, divided: true, interval: place, point: point}
 }
 
 // retain forgets the demand on routes that do not exist or have one service.
@@ -93,29 +95,37 @@
 // serviceAt returns the service whose interval contains the point, where the intervals of
 // the services divide [0, 1) by their weights. Weights below 0 count as 0.
 func serviceAt(splits []cataloger.Split, point float64) string {
-	largest, total := 0.0, 0.0
+	last := splits[0].Service()
+	for _, split := range splits {
+		length := share(splits, split.Service())
+		if length > 0 {
+			last = split.Service()
+		}
+		if point < length {
+			break
+		}
+		point -= length
+	}
+	return last
+}
+
+// share returns the share of a service in the weights.
+func share(splits []cataloger.Split, service string) float64 {
+	largest, total, own := 0.0, 0.0, 0.0
 	for _, split := range splits {
 		largest = max(largest, split.Weight())
 	}
 	if largest <= 0 {
-		return splits[0].Service()
+		return 0
 	}
 	for _, split := range splits {
-		total += max(split.Weight(), 0) / largest // no sum of weights overflows
-	}
-	point *= total
-	last := ""
-	for _, split := range splits {
-		weight := max(split.Weight(), 0) / largest
-		if weight > 0 {
-			last = split.Service()
-		}
-		if point < weight {
-			break
+		weight := max(split.Weight(), 0) / largest // no sum of weights overflows
+		total += weight
+		if split.Service() == service {
+			own += weight
 		}
-		point -= weight
 	}
-	return last
+	return own / total
 }
 
 const (
@@ -123,6 +133,9 @@
 	minDemand    = 20  // requests of which the demand for objects can be told
 	maxDemand    = 400 // requests that count; the older ones count less
 	positionStep = math.Phi - 1
+	// improbable is the probability of a series of requests for one service from which it
+	// shows that callers turned to other objects.
+	improbable = 0.001
 )
 
 // interval is a part of [0, 1).
@@ -135,6 +148,8 @@
 	counts   [1 << bucketBits]float64 // recent requests, by the highest bits of the object's hash
 	total    float64                  // of all counts
 	position float64                  // of the latest request in its object's interval
+	service  string                   // of the latest request
+	series   float64                  // probability of the latest requests for that service in a row, by its weight
 }
 
 // nextPosition returns the position of the next request in its object's interval, as a
@@ -144,6 +159,19 @@
 	return d.position
 }
 
+// observe records the service of a request, which has a share of the weights. It forgets
+// the demand if too many requests in a row are for one service: since callers have turned
+// to other objects, the intervals are not those of their demand.
+func (d *objectDemand) observe(service string, share float64) {
+	if service != d.service {
+		d.service, d.series = service, 1
+	}
+	if d.series *= share; d.series < improbable {
+		clear(d.counts[:])
+		d.total, d.series = 0, 1
+	}
+}
+
 // add counts a request for an object and returns the interval of that object. It is the
 // whole of [0, 1) while the demand is not known.
 func (d *objectDemand) add(hash uint64) interval {
