--- a/internal/roundtripper/cut_test.go
+++ b/internal/roundtripper/cut_test.go
@@ -3,12 +3,9 @@
 import (
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 
-	"go.yaml.in/yaml/v3"
-
 	"magnoliahill.example/magnoliahill/internal/roundtripper"
 )
 
@@ -18,13 +15,7 @@
 		Name, Text string
 		Ends       bool
 	}
-	data, err := os.ReadFile("testdata/cuts.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := yaml.Unmarshal(data, &cases); err != nil {
-		t.Fatal(err)
-	}
+	readCases(t, "cuts.yaml", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			body := strings.Index(c.Text, "hello")
--- a/internal/roundtripper/fuzz_test.go
+++ b/internal/roundtripper/fuzz_test.go
@@ -7,11 +7,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"testing"
 
 	"github.com/pkg/errors"
-	"go.yaml.in/yaml/v3"
 
 	"magnoliahill.example/magnoliahill/internal/forwarder"
 	"magnoliahill.example/magnoliahill/internal/roundtripper"
@@ -67,15 +65,9 @@
 func responseSeeds(t testing.TB) [][]byte {
 	t.Helper()
 	var seeds [][]byte
-	for _, file := range []string{"testdata/cuts.yaml", "testdata/repeats.yaml"} {
-		data, err := os.ReadFile(file)
-		if err != nil {
-			t.Fatal(err)
-		}
+	for _, file := range []string{"cuts.yaml", "repeats.yaml"} {
 		var cases []struct{ Text, Again string }
-		if err := yaml.Unmarshal(data, &cases); err != nil {
-			t.Fatal(err)
-		}
+		readCases(t, file, &cases)
 		for _, c := range cases {
 			seeds = append(seeds, []byte(c.Text+c.Again))
 		}
--- a/internal/roundtripper/roundtripper_test.go
+++ b/internal/roundtripper/roundtripper_test.go
@@ -73,6 +73,18 @@
 	}
 }
 
+// readCases reads the cases of a test from a data file.
+func readCases(t testing.TB, file string, cases any) {
+	t.Helper()
+	data, err := os.ReadFile("testdata/" + file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := yaml.Unmarshal(data, cases); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func newRequest(method, id string) *roundtripper.Request {
 	body := forwarder.NewBody(io.NopCloser(strings.NewReader("")))
 	return &roundtripper.Request{
@@ -88,13 +100,7 @@
 		Name, ID, First, Again string
 		Dials                  int64
 	}
-	data, err := os.ReadFile("testdata/repeats.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := yaml.Unmarshal(data, &cases); err != nil {
-		t.Fatal(err)
-	}
+	readCases(t, "repeats.yaml", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
