dispatcher, controller: work out the share of a service once per request

serviceAt added up all weights for each service, under the splitter's lock, and logWeightChanges formatted the routes of one service as well.

--- a/internal/controller/config.go
+++ b/internal/controller/config.go
@@ -142,10 +142,7 @@
 	if before == nil {
 		return nil
 	}
-	kept := make(map[string]*cataloger.Route, len(after.Routes()))
-	for _, route := range after.Routes() {
-		kept[route.Name()] = route
-	}
+	kept := routesByName(after)
 	var replaced []string
 	for _, route := range before.Routes() {
 		same := kept[route.Name()]
@@ -156,27 +153,36 @@
 	return replaced
 }
 
+// routesByName returns the routes of a configuration; none if it is nil.
+func routesByName(catalog *cataloger.Catalog) map[string]*cataloger.Route {
+	if catalog == nil {
+		return nil
+	}
+	routes := make(map[string]*cataloger.Route, len(catalog.Routes()))
+	for _, route := range catalog.Routes() {
+		routes[route.Name()] = route
+	}
+	return routes
+}
+
 // maxWeightLines limits the log lines about weights per configuration.
 const maxWeightLines = 50
 
 // logWeightChanges logs each route that divides its requests among several services if
 // these or their weights changed.
 func logWeightChanges(before, after *cataloger.Catalog) {
-	weights := map[string]string{}
-	if before != nil {
-		for _, route := range before.Routes() {
-			weights[route.Name()] = formatWeights(route)
-		}
-	}
-	changed := 0
+	old, changed := routesByName(before), 0
 	for _, route := range after.Routes() {
-		now := formatWeights(route)
-		if len(route.Splits()) < 2 || now == weights[route.Name()] {
+		if len(route.Splits()) < 2 {
+			continue
+		}
+		now, then := formatWeights(route), formatWeights(old[route.Name()])
+		if now == then {
 			continue
 		}
 		if changed++; changed <= maxWeightLines {
 			klog.InfoS("route weights changed", "route", route.Name(), "host", route.Host(), "prefix", route.Prefix(),
-				"weights", now, "before", weights[route.Name()], "homes", route.HomeRegions(), "config", after.Generation())
+				"weights", now, "before", then, "homes", route.HomeRegions(), "config", after.Generation())
 		}
 	}
 	if changed > maxWeightLines {
@@ -184,8 +190,12 @@
 	}
 }
 
-// formatWeights returns the services of a route and their weights for the log.
+// formatWeights returns the services of a route and their weights for the log; it is empty
+// for no route.
 func formatWeights(route *cataloger.Route) string {
+	if route == nil {
+		return ""
+	}
 	texts := make([]string, len(route.Splits()))
 	for i, split := range route.Splits() {
 		texts[i] = fmt.Sprintf("%s:%g", split.Service(), split.Weight())
--- a/internal/dispatcher/splitter.go
+++ b/internal/dispatcher/splitter.go
@@ -69,8 +69,8 @@
 		place = demand.add(xxhash.Sum64String(route.Prefix() + "\x00" + object))
 	}
 	point := place.start + place.length*position
-	service := serviceAt(splits, point)
-	demand.observe(service, share(splits, service))
+	service, share := serviceAt(splits, point)
+	demand.observe(service, share)
 	s.mu.Unlock()
 	return splitChoice{service: service, divided: true, interval: place, point: point}
 }
@@ -92,40 +92,31 @@
 	s.demands = kept
 }
 
-// serviceAt returns the service whose interval contains the point, where the intervals of
-// the services divide [0, 1) by their weights. Weights below 0 count as 0.
-func serviceAt(splits []cataloger.Split, point float64) string {
-	last := splits[0].Service()
-	for _, split := range splits {
-		length := share(splits, split.Service())
-		if length > 0 {
-			last = split.Service()
-		}
-		if point < length {
-			break
-		}
-		point -= length
-	}
-	return last
-}
-
-// share returns the share of a service in the weights.
-func share(splits []cataloger.Split, service string) float64 {
-	largest, total, own := 0.0, 0.0, 0.0
+// serviceAt returns the service whose interval contains the point, and the length of that
+// interval. The intervals of the services divide [0, 1) by their weights; those below 0
+// count as 0.
+func serviceAt(splits []cataloger.Split, point float64) (service string, length float64) {
+	largest, total := 0.0, 0.0
 	for _, split := range splits {
 		largest = max(largest, split.Weight())
 	}
 	if largest <= 0 {
-		return 0
+		return splits[0].Service(), 1
+	}
+	for _, split := range splits {
+		total += max(split.Weight(), 0) / largest // no sum of weights overflows
 	}
 	for _, split := range splits {
-		weight := max(split.Weight(), 0) / largest // no sum of weights overflows
-		total += weight
-		if split.Service() == service {
-			own += weight
+		own := max(split.Weight(), 0) / largest / total
+		if own > 0 {
+			service, length = split.Service(), own
+		}
+		if point < own {
+			break
 		}
+		point -= own
 	}
-	return own / total
+	return service, length
 }
 
 const (
--- a/internal/dispatcher/splitter_test.go
+++ b/internal/dispatcher/splitter_test.go
@@ -206,6 +206,7 @@
 		for i, weight := range c.weights {
 			splits = append(splits, cataloger.NewSplit(strconv.Itoa(i), weight))
 		}
-		is.Equal(serviceAt(splits, c.point), strconv.Itoa(c.service)) // the service of the weights
+		service, _ := serviceAt(splits, c.point)
+		is.Equal(service, strconv.Itoa(c.service)) // the service of the weights
 	}
 }
