dispatcher: notice within a few requests that callers turned to other objects

Callers saw: when all of them turned at once to a few other objects, a service of a divided route got up to all of the next 200 requests, whatever its weight.

Cause: the intervals of the objects come from the demand that a host knew, the same on all hosts. An object that it did not know had a point for an interval. A host began anew only after a series of requests for one service that the weights make improbable: ten at even weights, on each host. The test passed over the first 20 requests a host, which no target allows; it no longer does.

Why this works: what makes the demand outdated is which objects are asked for, not at which service they run. The latest requests are compared under their own demand and under that of the host, and three or four of them are enough. Until then requests for the rarest objects, 5% of the demand, are divided without regard to the object. The objects lie in 1,024 buckets, in place of 256, so that new ones share few with others; sums of the counts make up for the time.

Not fixed: on 30 hosts or more, callers who turn to one object that they asked for before. No request tells a host that until it has seen five or six.

--- a/internal/dispatcher/splitter.go
+++ b/internal/dispatcher/splitter.go
@@ -69,9 +69,8 @@
 		place = demand.add(xxhash.Sum64String(route.Prefix() + "\x00" + object))
 	}
 	point := place.start + place.length*position
-	service, share := serviceAt(splits, point)
-	demand.observe(service, share)
 	s.mu.Unlock()
+	service := serviceAt(splits, point)
 	return splitChoice{service: service, divided: true, interval: place, point: point}
 }
 
@@ -92,41 +91,42 @@
 	s.demands = kept
 }
 
-// serviceAt returns the service whose interval contains the point, and the length of that
-// interval. The intervals of the services divide [0, 1) by their weights; those below 0
-// count as 0.
-func serviceAt(splits []cataloger.Split, point float64) (service string, length float64) {
+// serviceAt returns the service whose interval contains the point, where the intervals of
+// the services divide [0, 1) by their weights. Weights below 0 count as 0.
+func serviceAt(splits []cataloger.Split, point float64) string {
 	largest, total := 0.0, 0.0
 	for _, split := range splits {
 		largest = max(largest, split.Weight())
 	}
 	if largest <= 0 {
-		return splits[0].Service(), 1
+		return splits[0].Service()
 	}
 	for _, split := range splits {
 		total += max(split.Weight(), 0) / largest // no sum of weights overflows
 	}
+	service := ""
 	for _, split := range splits {
-		own := max(split.Weight(), 0) / largest / total
-		if own > 0 {
-			service, length = split.Service(), own
+		length := max(split.Weight(), 0) / largest / total
+		if length > 0 {
+			service = split.Service()
 		}
-		if point < own {
+		if point < length {
 			break
 		}
-		point -= own
+		point -= length
 	}
-	return service, length
+	return service
 }
 
 const (
-	bucketBits   = 8   // of an object's hash; objects with the same ones are treated as one
-	minDemand    = 20  // requests of which the demand for objects can be told
-	maxDemand    = 400 // requests that count; the older ones count less
-	positionStep = math.Phi - 1
-	// improbable is the probability of a series of requests for one service from which it
-	// shows that callers turned to other objects.
-	improbable = 0.001
+	bucketBits    = 10 // of an object's hash; objects with the same ones are treated as one
+	buckets       = 1 << bucketBits
+	minDemand     = 20   // requests of which the demand for objects can be told
+	maxDemand     = 400  // requests that count; the older ones count less
+	recentDemand  = 4    // latest requests, which may show that callers turned to other objects
+	maxLikelihood = 1e3  // how many times likelier these may be under a demand of their own
+	rareShare     = 0.05 // share of the requests, those for the rarest objects, that are divided without regard to the object
+	positionStep  = math.Phi - 1
 )
 
 // interval is a part of [0, 1).
@@ -134,13 +134,16 @@
 	start, length float64
 }
 
-// objectDemand is the demand for the objects of a route, in the order of their hashes.
+// objectDemand is the demand for the objects of a route, in the order of their hashes. An
+// object's bucket is the highest bits of its hash.
 type objectDemand struct {
-	counts   [1 << bucketBits]float64 // recent requests, by the highest bits of the object's hash
-	total    float64                  // of all counts
-	position float64                  // of the latest request in its object's interval
-	service  string                   // of the latest request
-	series   float64                  // probability of the latest requests for that service in a row, by its weight
+	counts     [buckets]float64     // recent requests by bucket
+	sums       [buckets]float64     // Fenwick tree of the counts
+	total      float64              // of all counts
+	position   float64              // of the latest request in its object's interval
+	recent     [recentDemand]uint64 // buckets of the latest requests; the oldest one is replaced
+	requests   int                  // that were added to recent
+	likelihood float64              // of the latest requests under their own demand, against that of the counts; at least 1
 }
 
 // nextPosition returns the position of the next request in its object's interval, as a
@@ -150,37 +153,76 @@
 	return d.position
 }
 
-// observe records the service of a request, which has a share of the weights. It forgets
-// the demand if too many requests in a row are for one service: since callers have turned
-// to other objects, the intervals are not those of their demand.
-func (d *objectDemand) observe(service string, share float64) {
-	if service != d.service {
-		d.service, d.series = service, 1
+// add counts a request for an object and returns the interval of that object. It is the
+// whole of [0, 1) while the demand is not known.
+func (d *objectDemand) add(hash uint64) interval {
+	bucket := hash >> (64 - bucketBits)
+	d.count(bucket)
+	d.forgetOutdated(bucket)
+	if d.total < minDemand || d.isRare(bucket) {
+		return interval{length: 1}
 	}
-	if d.series *= share; d.series < improbable {
-		clear(d.counts[:])
-		d.total, d.series = 0, 1
+	return interval{start: d.countBefore(bucket) / d.total, length: d.counts[bucket] / d.total}
+}
+
+// isRare reports whether the requests for this bucket and all that are asked for no more
+// often are a small share of all. It may be that of an object to which callers have just
+// turned, whose interval does not tell the demand for it.
+func (d *objectDemand) isRare(bucket uint64) bool {
+	most, rest := d.counts[bucket], rareShare*d.total
+	if most >= rest {
+		return false
+	}
+	for _, count := range d.counts {
+		if count <= most {
+			if rest -= count; rest <= 0 {
+				return false
+			}
+		}
 	}
+	return true
 }
 
-// add counts a request for an object and returns the interval of that object. It is the
-// whole of [0, 1) while the demand is not known.
-func (d *objectDemand) add(hash uint64) interval {
+// count adds a request for a bucket.
+func (d *objectDemand) count(bucket uint64) {
 	if d.total >= maxDemand {
 		for i := range d.counts {
 			d.counts[i] /= 2
+			d.sums[i] /= 2
 		}
 		d.total /= 2
 	}
-	bucket := hash >> (64 - bucketBits)
 	d.counts[bucket]++
 	d.total++
-	if d.total < minDemand {
-		return interval{length: 1}
+	for i := bucket; i < buckets; i |= i + 1 {
+		d.sums[i]++
+	}
+}
+
+// countBefore returns the sum of the counts of all lower buckets.
+func (d *objectDemand) countBefore(bucket uint64) float64 {
+	sum := 0.0
+	for i := bucket; i > 0; i &= i - 1 {
+		sum += d.sums[i-1]
+	}
+	return sum
+}
+
+// forgetOutdated forgets the demand if the latest requests, up to one for the bucket, are
+// too improbable under it: callers have turned to other objects. Until hosts notice, one
+// service may get all of these requests, on all hosts alike.
+func (d *objectDemand) forgetOutdated(bucket uint64) {
+	same := 0
+	for _, other := range d.recent[:min(d.requests, recentDemand)] {
+		if other == bucket {
+			same++
+		}
 	}
-	before := 0.0
-	for _, count := range d.counts[:bucket] {
-		before += count
+	d.recent[d.requests%recentDemand] = bucket
+	d.requests++
+	own := float64(same) / recentDemand
+	d.likelihood = max(1, d.likelihood*(1+own/(d.counts[bucket]/d.total))/2)
+	if d.likelihood > maxLikelihood {
+		*d = objectDemand{position: d.position}
 	}
-	return interval{start: before / d.total, length: d.counts[bucket] / d.total}
 }
--- a/internal/dispatcher/splitter_test.go
+++ b/internal/dispatcher/splitter_test.go
@@ -33,7 +33,6 @@
 	Objects   []int // first number and count
 	Requests  int
 	Restarted int
-	Learned   int
 }
 
 type weightCase struct {
@@ -43,9 +42,9 @@
 	Phases []weightPhase
 }
 
-func readWeightCases(t *testing.T) []weightCase {
+func readWeightCases(t *testing.T, file string) []weightCase {
 	t.Helper()
-	data, err := os.ReadFile("testdata/weights.yaml")
+	data, err := os.ReadFile("testdata/" + file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -79,7 +78,17 @@
 
 // Guards against services of a divided route that get other shares than their weights.
 func TestSplitRequestsFollowTheWeightsInForce(t *testing.T) {
-	for _, c := range readWeightCases(t) {
+	playWeightCases(t, "weights.yaml")
+}
+
+// Guards against services that get all requests when callers of many hosts turn to one of
+// the objects that they asked for before.
+func TestWeightsHoldWhenCallersOfManyHostsTurnToOneOfTheirObjects(t *testing.T) {
+	playWeightCases(t, "weights-one-object.yaml")
+}
+
+func playWeightCases(t *testing.T, file string) {
+	for _, c := range readWeightCases(t, file) {
 		t.Run(c.Name, func(t *testing.T) {
 			for i := range c.Routes {
 				c.play(t, fmt.Sprintf("r-%d", i), rand.New(rand.NewPCG(uint64(i), 1)))
@@ -103,7 +112,7 @@
 		for i := range chosen {
 			chosen[i] = hosts[random.IntN(c.Hosts)].choose(route, phase.object(random), random.Float64()).service
 		}
-		checkShares(t, fmt.Sprintf("route %s, phase %d", name, number), phase.Weights, chosen[phase.Learned:])
+		checkShares(t, fmt.Sprintf("route %s, phase %d", name, number), phase.Weights, chosen)
 	}
 }
 
@@ -206,7 +215,6 @@
 		for i, weight := range c.weights {
 			splits = append(splits, cataloger.NewSplit(strconv.Itoa(i), weight))
 		}
-		service, _ := serviceAt(splits, c.point)
-		is.Equal(service, strconv.Itoa(c.service)) // the service of the weights
+		is.Equal(serviceAt(splits, c.point), strconv.Itoa(c.service)) // the service of the weights
 	}
 }
