dispatcher: log when the demand for objects is forgotten

A request's line says what decided its service, but no line said that a host had begun to learn the demand anew.

--- a/internal/dispatcher/splitter.go
+++ b/internal/dispatcher/splitter.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
 
 	"magnoliahill.example/magnoliahill/pkg/cataloger"
 )
@@ -65,11 +66,15 @@
 		s.demands[key] = demand
 	}
 	place, position := interval{length: 1}, demand.nextPosition()
+	forgotten := 0
 	if object != "" {
-		place = demand.add(xxhash.Sum64String(route.Prefix() + "\x00" + object))
+		place, forgotten = demand.add(xxhash.Sum64String(route.Prefix() + "\x00" + object))
 	}
-	point := place.start + place.length*position
 	s.mu.Unlock()
+	if forgotten > 0 {
+		klog.InfoS("demand for objects forgotten", "route", route.Name(), "host", key.host, "prefix", key.prefix, "requests", forgotten)
+	}
+	point := place.start + place.length*position
 	service := serviceAt(splits, point)
 	return splitChoice{service: service, divided: true, interval: place, point: point}
 }
@@ -142,7 +147,7 @@
 	total      float64              // of all counts
 	position   float64              // of the latest request in its object's interval
 	recent     [recentDemand]uint64 // buckets of the latest requests; the oldest one is replaced
-	requests   int                  // that were added to recent
+	requests   int                  // since the demand was last forgotten
 	likelihood float64              // of the latest requests under their own demand, against that of the counts; at least 1
 }
 
@@ -154,15 +159,22 @@
 }
 
 // add counts a request for an object and returns the interval of that object. It is the
-// whole of [0, 1) while the demand is not known.
-func (d *objectDemand) add(hash uint64) interval {
+// whole of [0, 1) while the demand is not known. If the request shows that callers turned
+// to other objects, add forgets the demand and returns the number of requests since it
+// began.
+func (d *objectDemand) add(hash uint64) (place interval, forgotten int) {
 	bucket := hash >> (64 - bucketBits)
 	d.count(bucket)
-	d.forgetOutdated(bucket)
-	if d.total < minDemand || d.isRare(bucket) {
-		return interval{length: 1}
+	d.compare(bucket)
+	switch {
+	case d.likelihood > maxLikelihood:
+		forgotten = d.requests
+		*d = objectDemand{position: d.position}
+		return interval{length: 1}, forgotten
+	case d.total < minDemand || d.isRare(bucket):
+		return interval{length: 1}, 0
 	}
-	return interval{start: d.countBefore(bucket) / d.total, length: d.counts[bucket] / d.total}
+	return interval{start: d.countBefore(bucket) / d.total, length: d.counts[bucket] / d.total}, 0
 }
 
 // isRare reports whether the requests for this bucket and all that are asked for no more
@@ -208,10 +220,10 @@
 	return sum
 }
 
-// forgetOutdated forgets the demand if the latest requests, up to one for the bucket, are
-// too improbable under it: callers have turned to other objects. Until hosts notice, one
-// service may get all of these requests, on all hosts alike.
-func (d *objectDemand) forgetOutdated(bucket uint64) {
+// compare updates the likelihood with a request for a bucket, which is counted already.
+// Where callers have turned to other objects, the demand gives one service all of their
+// requests, on all hosts alike.
+func (d *objectDemand) compare(bucket uint64) {
 	same := 0
 	for _, other := range d.recent[:min(d.requests, recentDemand)] {
 		if other == bucket {
@@ -222,7 +234,4 @@
 	d.requests++
 	own := float64(same) / recentDemand
 	d.likelihood = max(1, d.likelihood*(1+own/(d.counts[bucket]/d.total))/2)
-	if d.likelihood > maxLikelihood {
-		*d = objectDemand{position: d.position}
-	}
 }
