--- a/internal/dispatcher/splitter.go
+++ b/internal/dispatcher/splitter.go
@@ -17,9 +17,10 @@
 //
 // The weights divide the interval [0, 1) among the services. The objects, in the order of
 // a hash that is the same on all hosts, divide it by the demand for them. A request lies
-// at some point of its object's interval. These points are uniform, whatever the
-// objects are, so the services get their shares of any requests: of the first ones under
-// new weights, and of few requests on many hosts. No choice depends on earlier choices.
+// at some point of its object's interval, or of [0, 1) if its object is rarely asked for.
+// These points are uniform, whatever the objects are, so the services get their shares of
+// any requests: of the first ones under new weights, and of few requests on many hosts. No
+// choice depends on earlier choices.
 type splitter struct {
 	mu      sync.Mutex
 	demands map[demandKey]*objectDemand // of routes with several services
