--- a/review/1/main.go
+++ b/review/1/main.go
@@ -15,15 +15,15 @@
 
 const (
 	hostName = "archive.example"
-	uploads  = 24
-	atOnce   = 8
+	uploads  = 72
+	atOnce   = 12
 	lines    = 3600                  // of a body, about 200 KB
 	piece    = 8 << 10               // bytes that a client sends at once
 	interval = 40 * time.Millisecond // between two pieces: 1.6 Mbit/s
 
 	// The disruption, in the doses of the site's days: garble, how "early".
-	rejecting = 2 // of the targets: a share of at most 0.7
-	intakes   = 3
+	rejecting = 4 // of the targets: a share of at most 0.7
+	intakes   = 6
 	outOf     = 5 // requests, of which such a target rejects two: a part of 0.4
 )
 
@@ -74,10 +74,10 @@
 	return rig.ReadAnswer(conn, bufio.NewReader(conn), 8*time.Second)
 }
 
-// every returns a function that is true for two of outOf calls.
-func every() func(string) bool {
+// every returns a function that is true for two of outOf calls, beginning with one of them.
+func every(first int) func(string) bool {
 	var mu sync.Mutex
-	calls := 0
+	calls := first
 	return func(string) bool {
 		mu.Lock()
 		defer mu.Unlock()
@@ -95,7 +95,7 @@
 		}
 		defer t.Stop()
 		if rig.Trouble() && i < rejecting {
-			t.RejectEarly(every())
+			t.RejectEarly(every(i))
 		}
 		targets = append(targets, t)
 	}
