forwarder: give a request body to one reader at a time

Cause: a body over 60 KB is sent by a goroutine that outlives its attempt while it waits for the caller. Body let two readers take from one source. Replayable was true when the next attempt was decided on; then the earlier sender took the piece that overflowed the buffer and wrote it to a closed connection, and the next reader went on behind it. Discard took bytes beside a sender in the same way.

Now a new reader takes the place of the earlier one, which gets an error, and what was read for it meanwhile is buffered for the next. Rewind takes the body from its reader and tells in the same step whether the next reader gets it whole. So no decision can be overtaken by a read. The host that relays, the one that it relays to, and serve use the same body.

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -323,16 +323,17 @@
 	return false
 }
 
-// mayRetry reports whether the request may be sent to another backend server. A
-// retry is charged to the retry budget unless the last server was unreachable.
+// mayRetry reports whether the request may be sent to another backend server, and ends
+// the sending of its body to the last one if so. A retry is charged to the retry budget
+// unless the last server was unreachable.
 func (c *call) mayRetry(unreachable bool) bool {
-	if !c.body.Replayable() || len(c.triedIDs) >= maxUnreachable+c.maxAttempts {
+	if c.sentAttempts >= c.maxAttempts || len(c.triedIDs) >= maxUnreachable+c.maxAttempts || !c.body.Rewind() {
 		return false
 	}
 	if unreachable {
-		return c.sentAttempts < c.maxAttempts && (c.reaches(c.dispatcher.clock.Now()) || c.canRelay())
+		return c.reaches(c.dispatcher.clock.Now()) || c.canRelay()
 	}
-	return c.sentAttempts < c.maxAttempts && c.budget.Spend()
+	return c.budget.Spend()
 }
 
 // retryAfter returns the delay before a caller should retry when the backend
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -75,7 +75,7 @@
 	reason := relayedReason(shed.Header())
 	switch reason {
 	case header.ReasonCutOff, header.ReasonStopping, header.ReasonNoConfig, header.ReasonNoMemory:
-		if c.body.Replayable() {
+		if c.body.Rewind() {
 			return nil, nil, true
 		}
 	}
--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -4,6 +4,8 @@
 	"io"
 	"sync"
 	"sync/atomic"
+
+	"github.com/pkg/errors"
 )
 
 // MaxBuffered is the number of bytes of a request body that are buffered for
@@ -15,13 +17,24 @@
 	prefixSize    = MaxBuffered - readAheadSize // bytes that Prefetch reads of every longer body
 )
 
+// errReplaced is returned to a reader of a body after another one has taken its place.
+var errReplaced = errors.New("request body has another reader")
+
+// errNotBuffered is returned to a reader that would continue behind bytes that an
+// earlier one was given and that are not buffered.
+var errNotBuffered = errors.New("part of the request body was sent before and is not buffered")
+
 // Body is a request body that can be sent again until more bytes have been read
-// from it than its buffer holds. It is safe for concurrent use.
+// from it than its buffer holds. It has one reader at a time: a new reader takes the
+// place of the earlier one, which gets errors from then on. The bytes that a reader
+// gets follow one another without a gap. It is safe for concurrent use.
 type Body struct {
 	reading    sync.Mutex // held during a read of the source; locked before mu
 	mu         sync.Mutex // not held during a read of the source, which may take as long as the caller likes
 	source     io.Reader
-	buffered   []byte      // bytes read so far, from the start of the body
+	reader     *bodyReader // the only one that gets bytes; nil if there is none
+	buffered   []byte      // bytes read so far, from the start of the body; complete unless overflow is set
+	position   int         // bytes read from the source; not less than len(buffered)
 	overflow   bool        // more bytes were read than are buffered
 	readErr    error       // error of the last read from the source, including io.EOF
 	onComplete func()      // called when the source returns io.EOF
@@ -32,20 +45,25 @@
 // for a read that is under way.
 func (b *Body) Complete() bool { return b.complete.Load() }
 
-// Discard reads the rest of the body from the source, and returns at its end or at a
-// read error.
+// Discard takes the body from its reader and reads the rest from the source. It
+// returns at the end of the body or at a read error.
 func (b *Body) Discard() {
+	b.replaceReader(nil)
+	b.reading.Lock()
+	defer b.reading.Unlock()
 	buffer := make([]byte, readAheadSize)
-	for {
-		b.mu.Lock()
-		offset := len(b.buffered)
-		b.mu.Unlock()
-		if _, err := b.readAt(buffer, offset); err != nil {
-			return
-		}
+	for b.sourceErr() == nil {
+		n, err := b.source.Read(buffer)
+		b.record(nil, buffer[:n], err)
 	}
 }
 
+func (b *Body) sourceErr() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.readErr
+}
+
 // OnComplete sets a function that is called once the whole body was read, before
 // the reader of the body receives io.EOF. If the body has already been read, the
 // function is called at once.
@@ -61,10 +79,13 @@
 // NewBody returns a body that reads from the source.
 func NewBody(source io.Reader) *Body { return &Body{source: source} }
 
-// Replayable reports whether the body can be sent from its start again.
-func (b *Body) Replayable() bool {
+// Rewind takes the body from its reader and reports whether the next reader gets it
+// from the start to the end. An attempt may still be sending the body when its result
+// is known; without Rewind it could read on beyond the buffer until the next attempt.
+func (b *Body) Rewind() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.reader = nil
 	return !b.overflow
 }
 
@@ -112,24 +133,45 @@
 	return b.buffered, true
 }
 
-// Open returns a reader of the body from its start, for one attempt. The reader
-// of the previous attempt must no longer be in use.
-func (b *Body) Open() io.ReadCloser { return &bodyReader{body: b} }
+// Open returns a reader of the body from its start, for one attempt. It takes the
+// place of the reader of the previous attempt.
+func (b *Body) Open() io.ReadCloser {
+	r := &bodyReader{body: b}
+	b.replaceReader(r)
+	return r
+}
 
-// readAt reads buffered bytes at the offset, or the next bytes of the source
-// when the offset is at the end of the buffer.
-func (b *Body) readAt(p []byte, offset int) (int, error) {
-	if n, ok, err := b.readBuffered(p, offset); ok {
+func (b *Body) replaceReader(r *bodyReader) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reader = r
+}
+
+// readAt reads buffered bytes at the offset of a reader, or the next bytes of the
+// source when the offset is at the end of the buffer.
+func (b *Body) readAt(r *bodyReader, p []byte, offset int) (int, error) {
+	if n, ok, err := b.readBuffered(r, p, offset); ok {
 		return n, err
 	}
 	b.reading.Lock()
 	defer b.reading.Unlock()
-	if n, ok, err := b.readBuffered(p, offset); ok {
+	if n, ok, err := b.readBuffered(r, p, offset); ok {
 		return n, err // another reader has read on
 	}
 	n, err := b.source.Read(p)
+	if !b.record(r, p[:n], err) {
+		return 0, errReplaced
+	}
+	return n, err
+}
+
+// record records the result of a read of the source, and reports whether the reader,
+// nil for Discard, still has the body. The bytes that were read for a replaced reader
+// are buffered beyond the limit, since the next reader has not been given them.
+func (b *Body) record(r *bodyReader, p []byte, err error) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.position += len(p)
 	b.readErr = err
 	if err == io.EOF {
 		b.complete.Store(true)
@@ -137,21 +179,27 @@
 			b.onComplete()
 		}
 	}
-	if b.overflow || len(b.buffered)+n > MaxBuffered {
-		b.overflow = true
-		return n, err
+	given := b.reader == r
+	if b.overflow || given && len(b.buffered)+len(p) > MaxBuffered {
+		b.overflow = b.overflow || len(p) > 0
+		return given
 	}
-	b.buffered = append(b.buffered, p[:n]...)
-	return n, err
+	b.buffered = append(b.buffered, p...)
+	return given
 }
 
 // readBuffered reads buffered bytes at the offset, and returns false if the source has
 // to be read.
-func (b *Body) readBuffered(p []byte, offset int) (int, bool, error) {
+func (b *Body) readBuffered(r *bodyReader, p []byte, offset int) (int, bool, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if offset < len(b.buffered) {
+	switch {
+	case b.reader != r:
+		return 0, true, errReplaced
+	case offset < len(b.buffered):
 		return copy(p, b.buffered[offset:]), true, nil
+	case offset != b.position:
+		return 0, true, errNotBuffered
 	}
 	return 0, b.readErr != nil, b.readErr
 }
@@ -171,7 +219,7 @@
 	if r.closed {
 		return 0, io.ErrClosedPipe
 	}
-	n, err := r.body.readAt(p, r.offset)
+	n, err := r.body.readAt(r, p, r.offset)
 	r.offset += n
 	return n, err
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -175,10 +175,10 @@
 		is.NoErr(err)
 		is.Equal(string(got), "brooms")
 	}
-	is.True(small.Replayable())
+	is.True(small.Rewind())
 	large := forwarder.NewBody(strings.NewReader(strings.Repeat("x", 100<<10)))
 	got, err := io.ReadAll(large.Open())
 	is.NoErr(err)
 	is.Equal(len(got), 100<<10)
-	is.True(!large.Replayable())
+	is.True(!large.Rewind())
 }
--- a/internal/server/call.go
+++ b/internal/server/call.go
@@ -170,7 +170,7 @@
 // refusal for the caller.
 func (c *call) retryOrRefuse(ctx context.Context, err error) *admitter.Refusal {
 	notRun := errors.Is(err, forwarder.ErrNotRun) || errors.Is(err, forwarder.ErrShed)
-	retryable := ctx.Err() == nil && len(c.attempted) < maxAttempts && c.body.Replayable()
+	retryable := ctx.Err() == nil && len(c.attempted) < maxAttempts && c.body.Rewind()
 	switch {
 	case notRun:
 		c.fire("not-run")
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -25,23 +25,25 @@
 // Faults of a response.
 const (
 	None              Fault = ""
-	Shed              Fault = "shed"      // reports that it did not execute the request
-	NoResponse        Fault = "lost"      // executes the request and closes the connection without a response
-	Reset             Fault = "reset"     // executes the request and resets the connection
-	CutShort          Fault = "cut-short" // sends half of the body and closes the connection
-	ForeignResponse   Fault = "foreign"   // sends a complete response to another request first
-	DuplicateResponse Fault = "twice"     // sends the response twice without a pause
-	Garbage           Fault = "garbage"   // sends bytes that are not an HTTP response
-	Unsigned          Fault = "unsigned"  // sends status 200 without a signature
-	NoContentLength   Fault = "unframed"  // sends no Content-Length and closes the connection after the body
-	ServerError       Fault = "failure"   // sends a signed status 500
-	Unavailable       Fault = "busy"      // sends status 503 without the header that reports the request as not executed
-	Hang              Fault = "silence"   // executes the request and never responds
-	UnannouncedClose  Fault = "closes"    // responds and closes the connection without announcing it in the response
-	EarlyResponse     Fault = "early"     // responds before it reads the body, and then reads it
-	RawResponse       Fault = "raw"       // writes the text given to SetRawResponse and closes the connection
-	Misdirected       Fault = "elsewhere" // responds as another instance that has taken over the address
-	AnonymousResponse Fault = "anonymous" // sends a signed response without a request ID first
+	Shed              Fault = "shed"         // reports that it did not execute the request
+	NoResponse        Fault = "lost"         // executes the request and closes the connection without a response
+	Reset             Fault = "reset"        // executes the request and resets the connection
+	CutShort          Fault = "cut-short"    // sends half of the body and closes the connection
+	ForeignResponse   Fault = "foreign"      // sends a complete response to another request first
+	DuplicateResponse Fault = "twice"        // sends the response twice without a pause
+	Garbage           Fault = "garbage"      // sends bytes that are not an HTTP response
+	Unsigned          Fault = "unsigned"     // sends status 200 without a signature
+	NoContentLength   Fault = "unframed"     // sends no Content-Length and closes the connection after the body
+	ServerError       Fault = "failure"      // sends a signed status 500
+	Unavailable       Fault = "busy"         // sends status 503 without the header that reports the request as not executed
+	Hang              Fault = "silence"      // executes the request and never responds
+	UnannouncedClose  Fault = "closes"       // responds and closes the connection without announcing it in the response
+	EarlyResponse     Fault = "early"        // responds before it reads the body, and then reads it
+	EarlyShed         Fault = "early-shed"   // like Shed, but before it reads the body
+	EarlyMidway       Fault = "early-midway" // like EarlyResponse, but after the first 100,000 bytes of the body
+	RawResponse       Fault = "raw"          // writes the text given to SetRawResponse and closes the connection
+	Misdirected       Fault = "elsewhere"    // responds as another instance that has taken over the address
+	AnonymousResponse Fault = "anonymous"    // sends a signed response without a request ID first
 	EndlessHead       Fault = "endless-head"
 	EndlessBody       Fault = "endless-body"   // sends status 200 without a signature and a body that never ends
 	ForgottenIdle     Fault = "forgotten-idle" // responds, and resets the connection when the next request arrives
@@ -69,9 +71,10 @@
 	crashing      crashing
 	plannedFaults []Fault // of the next responses, in order
 	runs          []Execution
-	rawResponse   string // what the fault RawResponse writes
-	extraHeaders  string // of all responses but misdirected ones; each header ends with a line break
-	requests      int    // received, executed or not
+	unexecuted    []string // bodies, or their beginnings, that were read before and after early responses
+	rawResponse   string   // what the fault RawResponse writes
+	extraHeaders  string   // of all responses but misdirected ones; each header ends with a line break
+	requests      int      // received, executed or not
 	connections   int
 	open          map[net.Conn]bool
 	forgotten     map[net.Conn]bool // connections that are reset at their next request
@@ -184,6 +187,14 @@
 	return append([]Execution(nil), t.runs...)
 }
 
+// Unexecuted returns the bodies, or their beginnings, of the requests to which the target
+// responded early. They are known once the body or its connection has ended.
+func (t *Responder) Unexecuted() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]string(nil), t.unexecuted...)
+}
+
 // Connections returns the number of connections accepted so far.
 func (t *Responder) Connections() int {
 	t.mu.Lock()
@@ -249,10 +260,13 @@
 	t.mu.Unlock()
 	fault := t.nextFault()
 	id := r.Header.Get(t.headers.RequestID)
-	if fault == EarlyResponse {
-		_, err := io.WriteString(conn, t.formatHead("400 Bad Request", id, 0, ""))
-		_, _ = io.Copy(io.Discard, r.Body)
-		return err == nil
+	switch fault {
+	case EarlyResponse:
+		return t.respondEarly(conn, r, 0, t.formatHead("400 Bad Request", id, 0, ""))
+	case EarlyMidway:
+		return t.respondEarly(conn, r, earlyMidwayBytes, t.formatHead("400 Bad Request", id, 0, ""))
+	case EarlyShed:
+		return t.respondEarly(conn, r, 0, t.formatShed(id))
 	}
 	if fault == ResetMidway {
 		_, _ = io.CopyN(io.Discard, r.Body, 100)
@@ -275,7 +289,7 @@
 		return false
 	}
 	if fault == Shed {
-		return t.write(conn, "HTTP/1.1 503 Service Unavailable\r\n"+t.headers.RequestID+": "+id+"\r\n"+t.headers.NotRun+": 1\r\n"+t.headers.Load+": 1,0,8\r\n"+t.extra()+"Content-Length: 0\r\n\r\n")
+		return t.write(conn, t.formatShed(id))
 	}
 	t.mu.Lock()
 	t.runs = append(t.runs, Execution{Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: string(body), Header: r.Header})
@@ -287,6 +301,29 @@
 	return t.sendResponse(conn, fault, id, "answer to "+id)
 }
 
+const earlyMidwayBytes = 100_000
+
+// respondEarly writes a response when the beginning of the body has arrived, reads on, and
+// reports whether the connection stays open.
+func (t *Responder) respondEarly(conn net.Conn, r *http.Request, beginning int64, response string) bool {
+	var body strings.Builder
+	_, err := io.CopyN(&body, r.Body, beginning)
+	ok := err == nil && t.write(conn, response)
+	if ok {
+		_, err = io.Copy(&body, r.Body)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unexecuted = append(t.unexecuted, body.String())
+	return ok && err == nil
+}
+
+// formatShed returns a response that reports the request as not executed.
+func (t *Responder) formatShed(id string) string {
+	return "HTTP/1.1 503 Service Unavailable\r\n" + t.headers.RequestID + ": " + id + "\r\n" + t.headers.NotRun + ": 1\r\n" +
+		t.headers.Load + ": 1,0,8\r\n" + t.extra() + "Content-Length: 0\r\n\r\n"
+}
+
 // formatHead returns the status line and headers of a signed response. Each of the
 // extra headers ends with a line break.
 func (t *Responder) formatHead(status, id string, length int, extraHeaders string) string {
