controller: raise positions no further than a list in pages is complete

Cause: the position of a cache promises all changes up to it, and a list in pages is complete only to its first page's revision. replaceAll raised the position to the latest object of any page, and a fetch of changes to the latest object among them. Changes between were dropped as known, or never fetched.

Now a list raises positions to its first page's revision at most and does not replace later states that are known; changes raise them to the sender's position. The same rule holds with and without eras, also for late lists. Found by the same exploration and mended with it, since each leaves a host behind for good: a removal after the first page that two lists hide from neighbours, a host that completes itself from one that lacks the same changes, and a position that goes back in doing so. A merge now needs to know whether the other host watches, which its gossip tells already.

The tests of the cache passed the flag "from a watching host" that they imply; nothing else changed in them.

--- a/internal/controller/cache.go
+++ b/internal/controller/cache.go
@@ -15,18 +15,20 @@
 // objectCache is this host's cache of the objects of one kind.
 type objectCache struct {
 	kind         string
-	items        map[string]storer.Item
-	removed      []storer.Item        // latest removals of the present era, in order of revision
-	historyStart int64                // all changes of the present era up to it are in items; later removals are in removed
-	position     storer.Position      // of the latest change; reported to other hosts; never decreases
-	listed       bool                 // all objects were received once, from the store or another host
-	unreachable  bool                 // this host's watch cannot reach the store
-	incomplete   bool                 // the last changes before this host stopped watching may be missing
-	resyncAt     time.Duration        // when all objects are fetched again from another host if the cache is still incomplete
-	retained     map[string]retention // what applies of an earlier era, by name
-	gone         []removal            // latest objects that were removed in any era, the last one last
-	firstEra     int64                // era of the first list; 0 if it was not known
-	retainedAt   int64                // revision of the list of the present era from which on changes end retentions
+	items        map[string]storer.Item // may have later revisions than the position, of a list in pages
+	removed      []storer.Item          // latest removals of the present era, in order of revision
+	historyStart int64                  // all changes of the present era up to it are in items; later removals are in removed
+	position     storer.Position        // all changes up to it are in items; reported to other hosts; never decreases
+	listed       bool                   // all objects were received once, from the store or another host
+	unreachable  bool                   // this host's watch cannot reach the store
+	incomplete   bool                   // the last changes before this host stopped watching may be missing
+	resyncAt     time.Duration          // when all objects are fetched again from a watching host if the cache is still incomplete
+	watcher      string                 // control address of a watching host while the cache is incomplete; "" if none is known
+	goneInList   bool                   // the last list lacked objects, which may have been removed after its first page
+	retained     map[string]retention   // what applies of an earlier era, by name
+	gone         []removal              // latest objects that were removed in any era, the last one last
+	firstEra     int64                  // era of the first list; 0 if it was not known
+	retainedAt   int64                  // revision of the list of the present era from which on changes end retentions
 
 	peerPosition   storer.Position // latest position that another host reported
 	peerAddress    string          // control address of that host
@@ -63,7 +65,15 @@
 // replaceAll replaces the cache by a complete list of the kind. A list of an
 // earlier era is ignored, and so is a late one of the same era; it returns false then.
 func (c *objectCache) replaceAll(all storer.ItemList) bool {
-	if all.Position().Era() != 0 && all.Position().Before(c.position) {
+	return c.replaceBy(all, all.Revision())
+}
+
+// replaceBy replaces the cache by a complete list that holds all changes up to a revision.
+// A list in pages may show later states of some objects, while the changes of others
+// between are missing. So its later states raise no position, and it does not take
+// precedence over what the cache has of later revisions.
+func (c *objectCache) replaceBy(all storer.ItemList, completeTo int64) bool {
+	if all.Position().Before(c.position) {
 		return false
 	}
 	if !c.listed {
@@ -81,27 +91,44 @@
 		if !item.Deleted() {
 			c.items[item.Name()] = item
 		}
-		c.advance(item.Revision())
+		c.advance(min(item.Revision(), completeTo))
 	}
-	for name := range known {
-		if _, ok := c.items[name]; !ok && sameEra {
-			c.recordGone(name, known[name], all.Revision())
-			c.advance(all.Revision()) // makes other hosts fetch the removal, which no event may report
-		}
+	if c.goneInList && sameEra {
+		c.advance(completeTo) // the last list may have shown removals up to it
 	}
+	c.goneInList = sameEra && c.keepLater(known, completeTo)
 	// A list does not contain earlier removals, but it reflects them.
-	if c.peerPosition.SameEra(c.position) && all.Revision() >= c.peerPosition.Revision() {
+	if c.peerPosition.SameEra(c.position) && completeTo >= c.peerPosition.Revision() {
 		c.advance(c.peerPosition.Revision())
 	}
 	c.removed = nil
-	c.historyStart = max(all.Revision(), c.position.Revision())
+	c.historyStart = max(completeTo, c.position.Revision())
 	return true
 }
 
-// resync makes this host fetch all objects of the kind from another host. It is called
+// keepLater adds what was known before a list that is complete up to a revision, if it
+// is later than that revision. It records the other objects that the list lacks as gone,
+// and reports whether there are any.
+func (c *objectCache) keepLater(known map[string]storer.Item, completeTo int64) bool {
+	gone := false
+	for name, item := range known {
+		listed, ok := c.items[name]
+		switch {
+		case item.Revision() > completeTo && item.Revision() > listed.Revision():
+			c.items[name] = item
+		case !ok:
+			gone = true
+			c.recordGone(name, item, completeTo)
+			c.advance(completeTo) // makes other hosts fetch the removal, which no event may report
+		}
+	}
+	return gone
+}
+
+// resync makes this host fetch all objects of the kind from a watching host. It is called
 // when this host stops watching: the last changes may not have arrived, and hosts that
 // listed the kind after a removal do not report it.
-func (c *objectCache) resync() { c.incomplete = true }
+func (c *objectCache) resync() { c.incomplete, c.watcher = true, "" }
 
 // missing returns the position after which this host lacks objects.
 func (c *objectCache) missing() storer.Position {
@@ -128,22 +155,29 @@
 // since this cache's position, of which it returns those that it applied. After a
 // merge of all objects, the history of removals starts at their position, or at that
 // host's historyStart if that is later: they reflect earlier removals without naming them.
-func (c *objectCache) merge(objects storer.ItemList, historyStart int64, changes bool) []storer.Item {
+//
+// An incomplete cache is complete after a merge of all objects of a watching host only:
+// others may lack the same changes.
+func (c *objectCache) merge(objects storer.ItemList, historyStart int64, changes, fromWatcher bool) []storer.Item {
+	incomplete := c.incomplete && !fromWatcher
 	var applied []storer.Item
 	switch {
 	case changes && c.listed:
 		applied = c.applyChanges(objects)
 	case objects.Position().SameEra(c.position) || c.position.Before(objects.Position()):
+		before := c.position
 		if c.incomplete {
 			c.position = storer.NewPosition(c.position.Era(), 0)
 		}
-		if c.replaceAll(objects) {
-			c.historyStart = max(c.historyStart, historyStart)
+		c.replaceBy(objects, max(objects.Revision(), historyStart))
+		if before.Era() == c.position.Era() {
+			c.advance(before.Revision()) // accepts lets an incomplete cache merge no objects that are complete to less
 		}
 	}
 	if c.position.SameEra(objects.Position()) {
 		c.advance(objects.Revision())
 	}
+	c.incomplete = c.incomplete || incomplete
 	return applied
 }
 
@@ -156,11 +190,11 @@
 	}
 	var applied []storer.Item
 	for _, item := range changed.Items() {
-		if changed.Position().Era() != 0 && c.reflects(item) {
+		if c.reflects(item) {
 			continue
 		}
 		applied = append(applied, item)
-		c.advance(item.Revision())
+		c.advance(min(item.Revision(), changed.Revision()))
 		if !item.Deleted() {
 			c.items[item.Name()] = item
 			continue
@@ -215,10 +249,11 @@
 func (c *objectCache) peerAhead() bool { return c.appliedPosition().Before(c.peerPosition) }
 
 // recordPeerPosition records the position that another host reported, with its
-// control address. Positions that this cache has reached are ignored.
-func (c *objectCache) recordPeerPosition(now time.Duration, p storer.Position, control string) {
-	if c.incomplete && c.peerAddress == "" {
-		c.peerAddress = control
+// control address and whether it watches the store. Positions that this cache has reached
+// are ignored.
+func (c *objectCache) recordPeerPosition(now time.Duration, p storer.Position, control string, watching bool) {
+	if c.incomplete && watching && c.watcher == "" {
+		c.watcher = control
 	}
 	if !c.appliedPosition().Before(p) {
 		return
--- a/internal/controller/cache_test.go
+++ b/internal/controller/cache_test.go
@@ -28,7 +28,7 @@
 // objects from another host.
 func syncCaches(from, to *objectCache) {
 	objects, changes := from.changesSince(to.appliedPosition())
-	to.merge(objects, from.historyStart, changes)
+	to.merge(objects, from.historyStart, changes, true)
 }
 
 func TestChangesUpdateAnotherCache(t *testing.T) {
@@ -83,7 +83,7 @@
 	is := is.New(t)
 	cache := newObjectCache("k")
 	cache.replaceAll(storer.NewItemList([]storer.Item{item("a", 5)}, 7))
-	cache.recordPeerPosition(0, storer.NewPosition(0, 9), "other")
+	cache.recordPeerPosition(0, storer.NewPosition(0, 9), "other", true)
 	is.True(cache.stalled(stallTimeout))
 	cache.replaceAll(storer.NewItemList([]storer.Item{item("a", 5)}, 10)) // revision 9 was a removal
 	is.True(!cache.stalled(stallTimeout))
@@ -100,7 +100,7 @@
 	syncCaches(source, target)
 	source.replaceAll(inEra(2, 40, item("a", 30)))
 	source.applyChanges(inEra(2, 41, item("b", 41)))
-	target.recordPeerPosition(0, source.position, "other")
+	target.recordPeerPosition(0, source.position, "other", true)
 	is.True(target.peerAhead())
 	is.True(target.stalled(0)) // at once, not after stallTimeout
 	syncCaches(source, target)
@@ -119,8 +119,8 @@
 	cache.replaceAll(inEra(2, 40, item("a", 30)))
 	cache.replaceAll(inEra(1, 90, item("b", 90)))
 	cache.applyChanges(inEra(1, 91, item("c", 91)))
-	cache.merge(inEra(1, 92, item("d", 92)), 92, true)
-	cache.recordPeerPosition(0, storer.NewPosition(1, 99), "other")
+	cache.merge(inEra(1, 92, item("d", 92)), 92, true, true)
+	cache.recordPeerPosition(0, storer.NewPosition(1, 99), "other", true)
 	is.Equal(itemNames(cache), "a")
 	is.Equal(cache.appliedPosition(), storer.NewPosition(2, 40))
 	is.True(!cache.peerAhead())
@@ -209,7 +209,7 @@
 	source.replaceAll(inEra(1, 7, item("a", 5), item("b", 6)))
 	syncCaches(source, target)
 	source.replaceAll(inEra(1, 9, item("b", 6))) // the event of the removal was lost with the history
-	target.recordPeerPosition(0, source.position, "other")
+	target.recordPeerPosition(0, source.position, "other", true)
 	is.True(target.peerAhead())
 	syncCaches(source, target)
 	is.Equal(itemNames(target), "b")
@@ -223,11 +223,11 @@
 	stopped.replaceAll(inEra(1, 7, item("a", 5), item("b", 6)))
 	watcher.replaceAll(inEra(1, 8, item("a", 5)))
 	stopped.resync()
-	stopped.recordPeerPosition(0, watcher.position, "watcher")
-	is.Equal(stopped.peerAddress, "watcher")
+	stopped.recordPeerPosition(0, watcher.position, "watcher", true)
+	is.Equal(stopped.watcher, "watcher")
 	objects, changes := watcher.changesSince(stopped.missing())
 	is.True(stopped.accepts(objects, watcher.historyStart, changes))
-	stopped.merge(objects, watcher.historyStart, changes)
+	stopped.merge(objects, watcher.historyStart, changes, true)
 	is.Equal(itemNames(stopped), "a")
 	is.True(!stopped.incomplete)
 }
@@ -278,7 +278,7 @@
 	watcher.applyChanges(storer.NewItemList([]storer.Item{storer.NewDeletedItem("leaves", 7)}, 7))
 	fetch := func(to, from *objectCache) {
 		objects, changes := from.changesSince(to.missing())
-		to.merge(objects, from.historyStart, changes)
+		to.merge(objects, from.historyStart, changes, true)
 	}
 	fetch(behind, watcher)
 	is.Equal(len(behind.items), 1)
--- a/internal/controller/exploration_test.go
+++ b/internal/controller/exploration_test.go
@@ -238,9 +238,9 @@
 		replaceInExploration(h.cache, func() { h.cache.replaceAll(m.list) })
 	case !h.cache.accepts(m.list, m.historyStart, m.changes):
 	case m.changes && h.cache.listed:
-		h.cache.release(h.cache.merge(m.list, m.historyStart, true), newerByCount)
+		h.cache.release(h.cache.merge(m.list, m.historyStart, true, true), newerByCount)
 	default:
-		replaceInExploration(h.cache, func() { h.cache.merge(m.list, m.historyStart, false) })
+		replaceInExploration(h.cache, func() { h.cache.merge(m.list, m.historyStart, false, true) })
 	}
 }
 
@@ -296,7 +296,7 @@
 	w.deliver(w.answerList(0))
 	w.deliver(w.answerList(1))
 	source, target := w.hosts[0].cache, w.hosts[1].cache
-	target.recordPeerPosition(0, source.position, "first")
+	target.recordPeerPosition(0, source.position, "first", true)
 	if target.peerAhead() || target.incomplete {
 		list, changes := source.changesSince(target.missing())
 		w.deliver(explorationMessage{to: 1, list: list, changes: changes, historyStart: source.historyStart})
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -273,6 +273,10 @@
 		if cache.unreachable || !cache.listed {
 			klog.InfoS("store reachable", "kind", u.Kind, "revision", u.Listed.Revision(), "objects", len(u.Listed.Items()))
 		}
+		if later := u.Listed.LaterItems(); later > 0 {
+			klog.InfoS("objects changed while they were listed", "kind", u.Kind, "revision", u.Listed.Revision(), "objects", later)
+			l.controller.recorder.Scope().Counter("objects_changed_during_list").Inc(int64(later))
+		}
 		l.checkRestore(cache, u.Listed.Position())
 		cache.unreachable = false
 		l.noteReturn(now, 0, u.Kind)
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -73,7 +73,7 @@
 	l.applyHealthReports(now, host.Zone, messenger.DecodeHealthReports(m.GetEvidence()))
 	for i, revision := range m.GetPositions() {
 		if i < len(l.kindOrder) && revision > 0 {
-			l.caches[l.kindOrder[i]].recordPeerPosition(now, storer.NewPosition(m.GetEra(), revision), host.Control)
+			l.caches[l.kindOrder[i]].recordPeerPosition(now, storer.NewPosition(m.GetEra(), revision), host.Control, m.GetWatching())
 		}
 	}
 	l.recordPeerRetention(now, m.GetRetained(), m.GetEra(), host.Control)
@@ -95,14 +95,16 @@
 func (l *loop) fetchFromPeers(now time.Duration) {
 	positions := map[string][]*peerv1.Position{}
 	for kind, cache := range l.caches {
-		resync := cache.incomplete && cache.peerAddress != "" && now >= cache.resyncAt
+		source := cache.peerAddress
+		resync := cache.incomplete && cache.watcher != "" && now >= cache.resyncAt
 		if resync {
 			cache.resyncAt = now + stallTimeout
+			source = cache.watcher
 		} else if !cache.peerAhead() {
 			continue
 		}
 		if !l.watching || cache.unreachable || !cache.listed {
-			positions[cache.peerAddress] = append(positions[cache.peerAddress], messenger.EncodePosition(kind, cache.missing()))
+			positions[source] = append(positions[source], messenger.EncodePosition(kind, cache.missing()))
 		} else if cache.stalled(now) {
 			klog.InfoS("watch stalled", "kind", kind, "era", cache.position.Era(), "revision", cache.position.Revision(),
 				"othersEra", cache.peerPosition.Era(), "others", cache.peerPosition.Revision())
@@ -156,6 +158,9 @@
 			if cache.peerAddress == m.host {
 				cache.peerPosition, cache.peerAddress = storer.Position{}, "" // the next gossip message sets them again, maybe from another host
 			}
+			if cache.watcher == m.host {
+				cache.watcher = ""
+			}
 		}
 		if !l.watching && !l.discovering && !l.synced() {
 			// The host that listed the store is overloaded or gone; a starting
@@ -193,10 +198,10 @@
 	changes := wire.GetChanges() && cache.listed
 	l.checkRestore(cache, objects.Position())
 	if changes {
-		l.applyChanges(now, cache, cache.merge(objects, wire.GetComplete(), true))
+		l.applyChanges(now, cache, cache.merge(objects, wire.GetComplete(), true, false))
 		return
 	}
-	l.replaceObjects(now, cache, func() { cache.merge(objects, wire.GetComplete(), false) })
+	l.replaceObjects(now, cache, func() { cache.merge(objects, wire.GetComplete(), false, host == cache.watcher) })
 	l.applyUpdate(now, cache.kind, nil)
 }
 
--- a/internal/storer/itemlist.go
+++ b/internal/storer/itemlist.go
@@ -41,7 +41,9 @@
 func (i Item) Deleted() bool { return i.deleted }
 
 // ItemList holds objects of one kind at a revision: all of them after a list, or
-// those that changed after a watch.
+// those that changed after a watch. A list in pages has the revision of its first page:
+// objects on later pages may have later revisions, while other changes up to these are
+// missing.
 type ItemList struct {
 	items    []Item
 	position Position // of the store at the time of its response; never decreases within an era
@@ -73,3 +75,14 @@
 
 // Position returns the position of the store.
 func (l ItemList) Position() Position { return l.position }
+
+// LaterItems returns the number of objects with a later revision than the list.
+func (l ItemList) LaterItems() int {
+	later := 0
+	for _, item := range l.items {
+		if item.Revision() > l.Revision() {
+			later++
+		}
+	}
+	return later
+}
