controller: end no watch before it has passed the last list

A list now tells the revision of its last page. Until a watch has passed it, the host goes on watching, and a second list raises the position to its own revision, so that others fetch. The follower reports the first answer that passes the last page even if it is empty. The log line and the counter of lists with changes use the same revision.

TestWatchThatPassesTheLastPageIsReportedOnce guards the report.

--- a/internal/controller/cache.go
+++ b/internal/controller/cache.go
@@ -24,7 +24,7 @@
 	incomplete   bool                   // the last changes before this host stopped watching may be missing
 	resyncAt     time.Duration          // when all objects are fetched again from a watching host if the cache is still incomplete
 	watcher      string                 // control address of a watching host while the cache is incomplete; "" if none is known
-	goneInList   bool                   // the last list lacked objects, which may have been removed after its first page
+	partialTo    int64                  // changes after historyStart up to it are in items only in part, as in the last list in pages; 0 if there are none
 	retained     map[string]retention   // what applies of an earlier era, by name
 	gone         []removal              // latest objects that were removed in any era, the last one last
 	firstEra     int64                  // era of the first list; 0 if it was not known
@@ -53,6 +53,7 @@
 	}
 	c.position = storer.NewPosition(p.Era(), 0)
 	c.historyStart = 0
+	c.partialTo = 0
 	c.removed = nil
 	return true
 }
@@ -65,9 +66,19 @@
 // replaceAll replaces the cache by a complete list of the kind. A list of an
 // earlier era is ignored, and so is a late one of the same era; it returns false then.
 func (c *objectCache) replaceAll(all storer.ItemList) bool {
-	return c.replaceBy(all, all.Revision())
+	if !c.replaceBy(all, all.Revision()) {
+		return false
+	}
+	if all.LastPage() > all.Revision() {
+		c.partialTo = all.LastPage()
+	}
+	return true
 }
 
+// partial reports whether the cache holds a list in pages in which some changes show in
+// part, and the watch has not brought these.
+func (c *objectCache) partial() bool { return c.partialTo != 0 }
+
 // replaceBy replaces the cache by a complete list that holds all changes up to a revision.
 // A list in pages may show later states of some objects, while the changes of others
 // between are missing. So its later states raise no position, and it does not take
@@ -93,10 +104,13 @@
 		}
 		c.advance(min(item.Revision(), completeTo))
 	}
-	if c.goneInList && sameEra {
-		c.advance(completeTo) // the last list may have shown removals up to it
+	if sameEra {
+		c.keepLater(known, completeTo)
+	}
+	if sameEra && c.partialTo != 0 {
+		c.advance(completeTo) // the last list may lack objects that were removed after its first page, which no event reports any more
 	}
-	c.goneInList = sameEra && c.keepLater(known, completeTo)
+	c.partialTo = 0
 	// A list does not contain earlier removals, but it reflects them.
 	if c.peerPosition.SameEra(c.position) && completeTo >= c.peerPosition.Revision() {
 		c.advance(c.peerPosition.Revision())
@@ -107,22 +121,18 @@
 }
 
 // keepLater adds what was known before a list that is complete up to a revision, if it
-// is later than that revision. It records the other objects that the list lacks as gone,
-// and reports whether there are any.
-func (c *objectCache) keepLater(known map[string]storer.Item, completeTo int64) bool {
-	gone := false
+// is later than that revision, and records the other objects that the list lacks as gone.
+func (c *objectCache) keepLater(known map[string]storer.Item, completeTo int64) {
 	for name, item := range known {
 		listed, ok := c.items[name]
 		switch {
 		case item.Revision() > completeTo && item.Revision() > listed.Revision():
 			c.items[name] = item
 		case !ok:
-			gone = true
 			c.recordGone(name, item, completeTo)
 			c.advance(completeTo) // makes other hosts fetch the removal, which no event may report
 		}
 	}
-	return gone
 }
 
 // resync makes this host fetch all objects of the kind from a watching host. It is called
@@ -203,6 +213,9 @@
 		delete(c.items, item.Name())
 		c.removed = append(c.removed, item)
 	}
+	if changed.Revision() >= c.partialTo {
+		c.partialTo = 0
+	}
 	if excess := len(c.removed) - maxRemoved; excess > 0 {
 		c.historyStart = c.removed[excess-1].Revision()
 		c.removed = c.removed[excess:]
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -173,8 +173,9 @@
 
 // updateWatchRole starts to watch the store if this host is elected to do so for
 // its zone, or if no gossip message of a watching host has arrived for
-// watcherTimeout. It stops the watches if neither holds and the caches are
-// complete. Hosts that do not watch get the objects from those that do.
+// watcherTimeout. It stops the watches if neither holds and the caches are complete
+// and hold no list in pages that the watches have not caught up with: other hosts would not
+// learn of removals in it. Hosts that do not watch get the objects from those that do.
 func (l *loop) updateWatchRole(now time.Duration) {
 	if l.discovering || now < l.watchStartAt {
 		return
@@ -185,7 +186,7 @@
 	case elected && !l.watching:
 		klog.InfoS("store watches started", "sinceWatcherSeen", now-l.watcherSeenAt)
 		l.startWatches()
-	case !elected && l.watching && l.synced():
+	case !elected && l.watching && l.synced() && !l.catchingUp():
 		klog.InfoS("store watches stopped; other hosts of the zone watch")
 		l.watching = false
 		l.stopWatches()
@@ -207,6 +208,16 @@
 	return l.config.catalog != nil
 }
 
+// catchingUp reports whether a watch has to bring changes that a list shows in part.
+func (l *loop) catchingUp() bool {
+	for _, cache := range l.caches {
+		if cache.partial() {
+			return true
+		}
+	}
+	return false
+}
+
 // run processes messages and periodic work until the context ends.
 func (l *loop) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -273,9 +284,9 @@
 		if cache.unreachable || !cache.listed {
 			klog.InfoS("store reachable", "kind", u.Kind, "revision", u.Listed.Revision(), "objects", len(u.Listed.Items()))
 		}
-		if later := u.Listed.LaterItems(); later > 0 {
-			klog.InfoS("objects changed while they were listed", "kind", u.Kind, "revision", u.Listed.Revision(), "objects", later)
-			l.controller.recorder.Scope().Counter("objects_changed_during_list").Inc(int64(later))
+		if u.Listed.LastPage() > u.Listed.Revision() {
+			klog.InfoS("store changed while a kind was listed", "kind", u.Kind, "revision", u.Listed.Revision(), "lastPage", u.Listed.LastPage(), "later", u.Listed.LaterItems())
+			l.controller.recorder.Scope().Counter("lists_with_changes").Inc(1)
 		}
 		l.checkRestore(cache, u.Listed.Position())
 		cache.unreachable = false
--- a/internal/controller/paging_test.go
+++ b/internal/controller/paging_test.go
@@ -76,7 +76,7 @@
 	}
 	for _, h := range w.hosts {
 		c := h.cache
-		fmt.Fprint(&b, "|", c.position, c.historyStart, c.listed, c.incomplete, h.page, h.listedAt, h.watch, h.floors)
+		fmt.Fprint(&b, "|", c.position, c.historyStart, c.listed, c.incomplete, c.partialTo, h.page, h.listedAt, h.watch, h.floors)
 		for _, name := range slices.Sorted(maps.Keys(c.items)) {
 			fmt.Fprint(&b, "i", itemKey(c.items[name]))
 		}
@@ -127,6 +127,8 @@
 		}
 		if h.watches && h.listedAt == 0 && h.watch != 0 {
 			add(func(w *pagedWorld) { w.answerWatch(i) }, "changes to ", i)
+		}
+		if h.watches && h.listedAt == 0 && h.watch != 0 && !h.cache.partial() {
 			add(func(w *pagedWorld) { w.stopWatching(i) }, "end of the watch of ", i)
 		}
 		for j := range w.hosts {
@@ -148,7 +150,7 @@
 		h.listed = append(h.listed, object)
 	}
 	if h.page++; h.page == len(w.objects) {
-		h.cache.replaceAll(w.list(h.listed, h.listedAt))
+		h.cache.replaceAll(storer.NewItemList(h.listed, h.listedAt, storer.WithEra(w.limits.era), storer.WithLastPage(w.revision)))
 		h.watch, h.listedAt, h.page, h.listed = h.listedAt, 0, 0, nil
 	}
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -41,7 +41,7 @@
 type Update struct {
 	Kind    string
 	Listed  *storer.ItemList // all objects of the kind
-	Changed *storer.ItemList // objects that changed since the previous update
+	Changed *storer.ItemList // objects that changed since the previous update; may be empty at a later revision
 	Err     error            // why the store could not be listed
 }
 
@@ -111,7 +111,7 @@
 		}
 		delay = minRetryDelay
 		f.onUpdate(Update{Kind: f.kind, Listed: &list})
-		f.watch(ctx, list.Position())
+		f.watch(ctx, list.Position(), list.LastPage())
 	}
 }
 
@@ -127,8 +127,9 @@
 
 // watch reports changes until the watch fails or a new list is requested. A watch
 // from a revision that a restored store has given out again lacks changes, so a
-// response from another era counts as a failure.
-func (f *Follower) watch(ctx context.Context, start storer.Position) {
+// response from another era counts as a failure. The first response that reaches the last
+// page of the list is reported even if it is empty.
+func (f *Follower) watch(ctx context.Context, start storer.Position, lastPage int64) {
 	revision := start.Revision()
 	for ctx.Err() == nil {
 		changed, err := f.watchOnce(ctx, revision)
@@ -139,12 +140,15 @@
 			f.watchFailed(ctx, revision, err)
 			return
 		}
+		caughtUp := revision >= lastPage || changed.Revision() < lastPage
 		revision = max(revision, changed.Revision())
-		if len(changed.Items()) == 0 {
+		if len(changed.Items()) == 0 && caughtUp {
 			continue
 		}
 		f.onUpdate(Update{Kind: f.kind, Changed: &changed})
-		_ = timekeeper.Sleep(ctx, batchDelay)
+		if len(changed.Items()) > 0 {
+			_ = timekeeper.Sleep(ctx, batchDelay)
+		}
 	}
 }
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -24,6 +24,7 @@
 	era         int64
 	calls       int
 	longest     time.Duration // longest watch that was requested
+	lastPage    int64         // changes of other kinds while this one is listed; 0 if there are none
 	changed     chan struct{}
 }
 
@@ -58,7 +59,9 @@
 	if s.down {
 		return storer.ItemList{}, storer.ErrUnavailable
 	}
-	return s.items(), nil
+	listed := storer.NewItemList(s.items().Items(), s.revision, storer.WithEra(s.era), storer.WithLastPage(s.lastPage))
+	s.revision = listed.LastPage()
+	return listed, nil
 }
 
 func (s *source) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (storer.ItemList, error) {
@@ -77,6 +80,9 @@
 	case compacted:
 		return storer.ItemList{}, storer.ErrRevisionExpired
 	}
+	if after < s.lastPage {
+		return storer.NewItemList(nil, revision, storer.WithEra(s.era)), nil
+	}
 	if revision > after {
 		return s.items(), nil
 	}
@@ -98,6 +104,7 @@
 	mu       sync.Mutex
 	revision int64
 	lists    int
+	changes  int
 	losses   int
 }
 
@@ -117,6 +124,7 @@
 		r.lists++
 		r.revision = n.Listed.Revision()
 	case n.Changed != nil:
+		r.changes++
 		r.revision = n.Changed.Revision()
 	}
 }
@@ -160,6 +168,20 @@
 	})
 }
 
+// Guards against a host that never learns that its watch has passed the last page of a
+// list, and so neither ends its watch nor trusts the list.
+func TestWatchThatPassesTheLastPageIsReportedOnce(t *testing.T) {
+	is := is.New(t)
+	runFollower(t, func(s *source, f *follower.Follower, updates *recorder) {
+		s.set(func() { s.lastPage = 3 })
+		f.Relist()
+		time.Sleep(time.Minute)
+		revision, _ := updates.latest()
+		is.Equal(revision, int64(3))
+		updates.set(func() { is.Equal(updates.changes, 1) })
+	})
+}
+
 // After the store has dropped its history, a watch may stall without an error. A
 // single host detects this when the watch ends and is renewed.
 func TestStalledWatchIsRenewed(t *testing.T) {
--- a/internal/storer/itemlist.go
+++ b/internal/storer/itemlist.go
@@ -47,6 +47,7 @@
 type ItemList struct {
 	items    []Item
 	position Position // of the store at the time of its response; never decreases within an era
+	latest   int64    // revision of the store at the last page of a list; not less than that of the position
 }
 
 // ItemListOption sets one property of an ItemList.
@@ -57,10 +58,15 @@
 	return func(l *ItemList) { l.position.era = era }
 }
 
+// WithLastPage sets the revision that the store had at the last page of a list in pages.
+func WithLastPage(revision int64) ItemListOption {
+	return func(l *ItemList) { l.latest = max(l.latest, revision) }
+}
+
 // NewItemList returns the objects that the store had at a revision. The era is not
 // known unless an option sets it.
 func NewItemList(items []Item, revision int64, options ...ItemListOption) ItemList {
-	l := ItemList{items: items, position: NewPosition(0, revision)}
+	l := ItemList{items: items, position: NewPosition(0, revision), latest: revision}
 	for _, option := range options {
 		option(&l)
 	}
@@ -76,6 +82,10 @@
 // Position returns the position of the store.
 func (l ItemList) Position() Position { return l.position }
 
+// LastPage returns the revision of the store at the last page of a list. Changes between
+// that of the list and this one may be missing, or show in the objects.
+func (l ItemList) LastPage() int64 { return l.latest }
+
 // LaterItems returns the number of objects with a later revision than the list.
 func (l ItemList) LaterItems() int {
 	later := 0
