dispatcher, controller: send no request that a stopping host would break off

Cause: the time in which all requests are accepted grew with the grace period, beyond the life of look-up answers; whether a request fits into the rest of the stop was not asked; and the decision was made once, before the body had arrived, the charge was made or a copy had ended.

Now requests that may outlast the stop are accepted until look-up answers have expired at most, and each attempt asks again whether the deadline or the expected run time fits into the rest. What does not is refused at once as not run: another host takes it, while nobody can tell what became of an order that was broken off.

TestStoppingHostAcceptsOnlyRequestsThatEndInTime had a stop that was to be complete before it began; its first request now has an hour. Its other expectations are as before.

--- a/internal/controller/stop.go
+++ b/internal/controller/stop.go
@@ -13,7 +13,7 @@
 const (
 	stopMargin       = 300 * time.Millisecond // left before the platform kills the process
 	finishPeriod     = 200 * time.Millisecond // at the end: new requests are refused, running ones get a final response
-	acceptAllShare   = 0.45                   // of the grace period, in which all requests are accepted; up to half is safe
+	acceptAllShare   = 0.45                   // of the grace period, in which requests are accepted that may outlast it; up to half is safe
 	stopPollInterval = 50 * time.Millisecond
 	lateCallerMargin = 500 * time.Millisecond // callers may use a look-up answer this long after it expired
 	shutdownTimeout  = 150 * time.Millisecond
@@ -54,10 +54,7 @@
 // finish, and closes all listeners.
 func (c *Controller) stop() {
 	began := c.clock.Now()
-	stop := dispatcher.StopSchedule{
-		AcceptUntil: began + time.Duration(acceptAllShare*float64(c.settings.StopTimeout)),
-		CompleteBy:  began + c.settings.StopTimeout - stopMargin - finishPeriod,
-	}
+	stop := newStopSchedule(began, c.settings.StopTimeout)
 	c.loop.send(&phaseChange{phase: dispatcher.Leaving, stop: stop})
 	c.waitForRequests(stop.CompleteBy, min(began+lookupTTL+lateCallerMargin, stop.CompleteBy))
 	c.loop.send(&phaseChange{phase: dispatcher.Finishing, stop: stop})
@@ -82,6 +79,15 @@
 	klog.Flush()
 }
 
+// newStopSchedule returns the times of a stop that begins now. However long the grace
+// period is, callers that comply use another host once their look-up answers expire.
+func newStopSchedule(now, grace time.Duration) dispatcher.StopSchedule {
+	return dispatcher.StopSchedule{
+		AcceptUntil: now + min(time.Duration(acceptAllShare*float64(grace)), lookupTTL),
+		CompleteBy:  now + grace - stopMargin - finishPeriod,
+	}
+}
+
 // drainConns accepts no new connections and waits until the given time, or until
 // no open connection may hold a request without a response. A process that is
 // short of CPU time may not have read a request that has already arrived.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -52,10 +52,11 @@
 // StopSchedule holds the times of a planned stop, on the host's clock. It is zero
 // unless the host is stopping.
 type StopSchedule struct {
-	// AcceptUntil is the time until which all requests are accepted.
+	// AcceptUntil is the time until which requests are accepted that may take longer than
+	// the stop, if they seldom do.
 	AcceptUntil time.Duration
-	// CompleteBy is the time by which all requests are complete. Once the host no
-	// longer accepts all requests, it accepts those whose deadline is not later.
+	// CompleteBy is the time by which all requests are complete. Once the host accepts
+	// no others, it accepts those whose deadline is not later.
 	CompleteBy time.Duration
 }
 
@@ -65,11 +66,18 @@
 	return &Snapshot{catalog: catalog, phase: phase, appliedAt: appliedAt, stop: stop}
 }
 
-// accepts reports whether a request with the given time limit is accepted.
+// accepts reports whether a request that arrives with the given time limit is accepted.
 func (s *Snapshot) accepts(now, limit time.Duration) bool {
 	return s.phase != Leaving || now <= s.stop.AcceptUntil || now+limit <= s.stop.CompleteBy
 }
 
+// allows reports whether an accepted request may be sent to a backend server: its deadline
+// is not later than the end of the stop, or it is not expected to take that long. A host
+// that breaks off a request leaves its caller with an unknown outcome.
+func (s *Snapshot) allows(now, deadline, expected time.Duration) bool {
+	return s.phase != Leaving || deadline <= s.stop.CompleteBy || now+expected <= s.stop.CompleteBy
+}
+
 // HeaderCodec decodes and formats header values in the format of the deployment.
 type HeaderCodec interface {
 	// DecodeReport decodes what a backend server reports of itself in the headers of a
@@ -88,6 +96,7 @@
 type Placer interface {
 	Choose(now time.Duration, q placer.Query) (placer.Pick, placer.Verdict, time.Duration)
 	Done(now time.Duration, pick placer.Pick, outcome placer.Outcome, load placer.Load)
+	LongestRun(q placer.Query) time.Duration
 	Reachable(now time.Duration, except string, n int) []placer.Endpoint
 	Leaves(pick placer.Pick) bool
 	RespondedSince(since time.Duration, service string) bool
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -296,7 +296,7 @@
 	is := is.New(t)
 	s := newTestHost(t, 1)
 	now := s.clock.Now()
-	s.dispatcher.SetSnapshot(dispatcher.NewSnapshot(s.catalog, dispatcher.Leaving, 0, dispatcher.StopSchedule{AcceptUntil: now + time.Hour, CompleteBy: now}))
+	s.dispatcher.SetSnapshot(dispatcher.NewSnapshot(s.catalog, dispatcher.Leaving, 0, dispatcher.StopSchedule{AcceptUntil: now + time.Hour, CompleteBy: now + time.Hour}))
 	got := s.send(http.MethodGet, "/read/", "a", "")
 	is.Equal(got.status, http.StatusOK)
 	s.dispatcher.SetSnapshot(dispatcher.NewSnapshot(s.catalog, dispatcher.Leaving, 0, dispatcher.StopSchedule{AcceptUntil: now, CompleteBy: now + 300*time.Millisecond}))
--- a/internal/dispatcher/upload_test.go
+++ b/internal/dispatcher/upload_test.go
@@ -18,7 +18,10 @@
 	"magnoliahill.example/magnoliahill/pkg/header"
 )
 
-const uploadID = "id-1"
+const (
+	uploadID         = "id-1"
+	transferEncoding = "Transfer-Encoding"
+)
 
 // uploadCase is one case of the data file.
 type uploadCase struct {
@@ -36,19 +39,24 @@
 	rest    string // what was not sent yet
 }
 
-func startUpload(t *testing.T, address, text string, chunked bool) *upload {
+// startUpload sends the head of a request with a body, in chunks if a header says so.
+func startUpload(t *testing.T, address, text, path string, headers ...string) *upload {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	framing := fmt.Sprint("Content-Length: ", len(text))
-	if chunked {
-		framing = "Transfer-Encoding: chunked"
+	u := &upload{conn: conn, rest: text}
+	head := "POST " + path + " HTTP/1.1\r\nHost: shop\r\n" + headerNames.RequestID + ": " + uploadID + "\r\n"
+	for i := 0; i+1 < len(headers); i += 2 {
+		head += headers[i] + ": " + headers[i+1] + "\r\n"
+		u.chunked = u.chunked || headers[i] == transferEncoding
+	}
+	if !u.chunked {
+		head += fmt.Sprint("Content-Length: ", len(text), "\r\n")
 	}
-	u := &upload{conn: conn, chunked: chunked, rest: text}
-	u.write(t, "POST /slow/ HTTP/1.1\r\nHost: shop\r\n"+headerNames.RequestID+": "+uploadID+"\r\n"+framing+"\r\n\r\n")
+	u.write(t, head+"\r\n")
 	return u
 }
 
@@ -81,14 +89,14 @@
 	}
 }
 
-func (u *upload) status(t *testing.T) int {
+func (u *upload) response(t *testing.T) *http.Response {
 	t.Helper()
 	_ = u.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
 	resp, err := http.ReadResponse(bufio.NewReader(u.conn), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return resp.StatusCode
+	return resp
 }
 
 // prepare starts the hosts of a case, and returns the address for callers and the host whose
@@ -162,14 +170,18 @@
 		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
 			address, s := c.prepare(t)
-			u := startUpload(t, address, text, c.Chunked)
+			var headers []string
+			if c.Chunked {
+				headers = []string{transferEncoding, "chunked"}
+			}
+			u := startUpload(t, address, text, "/slow/", headers...)
 			u.send(t, 62<<10)
 			second := s.backends[len(s.backends)-1]
 			for second.Requests() == 0 {
 				time.Sleep(time.Millisecond)
 			}
 			u.finish(t)
-			is.Equal(u.status(t), c.Status)
+			is.Equal(u.response(t).StatusCode, c.Status)
 			for _, run := range s.executions() {
 				is.True(run.Body == text)
 			}
--- a/pkg/placer/runtimes.go
+++ b/pkg/placer/runtimes.go
@@ -28,6 +28,14 @@
 	return times
 }
 
+// LongestRun returns how long a request like the query's is expected to run at a server
+// that is not warm for it.
+func (p *Placer) LongestRun(q Query) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runTimesOf(q).expected(false)
+}
+
 // ForgetRoutes drops the run times of routes, by name, that are gone or whose names
 // belong to other routes now.
 func (p *Placer) ForgetRoutes(names []string) {
