timekeeper: count suspensions by the boot clock, not by the time of day

Cause: the clock took the greater of the monotonic and the wall clock, since the monotonic one stands still in a suspension. After a step forward and back it stood still for as long as the step, and so did the times of a stop, heartbeats and refills of rates.

Now it adds to the monotonic time what the boot clock is ahead of it, which only suspensions change.

--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -6,37 +6,92 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// A difference of this size between the wall clock and the monotonic clock means that
+	// the wall clock was set or the machine was suspended.
+	stepThreshold = time.Millisecond
+	checkInterval = 100 * time.Millisecond // longest time between two readings of the boot clock
 )
 
-// Clock measures monotonic time since an arbitrary start.
+// Clock measures monotonic time since an arbitrary start, including the time for which the
+// machine was suspended. Changes of the time of day do not affect it.
 type Clock struct {
-	start time.Time
-	last  atomic.Int64
+	start     time.Time
+	source    source
+	suspended atomic.Int64 // nanoseconds since the start; never decreases
+	checkedAt atomic.Int64 // monotonic nanoseconds since the start
+	ahead     atomic.Int64 // what the wall clock was ahead of the monotonic one at that check, in nanoseconds
+}
+
+// source provides the clocks of the machine.
+type source interface {
+	// Now returns the monotonic and the wall time since the start.
+	Now() (monotonic, wall time.Duration)
+	// Suspended returns for how long the machine was suspended since it booted.
+	Suspended() (time.Duration, error)
 }
 
 // New returns a clock that starts now. Its readings start at one nanosecond.
-func New() *Clock { return &Clock{start: time.Now()} }
+func New() *Clock {
+	start := time.Now()
+	return newClock(start, &machine{start: start})
+}
+
+func newClock(start time.Time, s source) *Clock {
+	before, err := s.Suspended()
+	if err != nil {
+		klog.ErrorS(err, "time of suspension is not counted")
+	}
+	return &Clock{start: start, source: &sinceStart{source: s, before: before}}
+}
 
-// Now returns the time since the start by the monotonic or the wall clock,
-// whichever is greater. It never decreases. The wall clock is needed because the
-// monotonic clock stops while a machine is suspended.
+// sinceStart is a source whose time of suspension counts from the start of the clock.
+type sinceStart struct {
+	source
+	before time.Duration
+}
+
+// Suspended implements source.
+func (s *sinceStart) Suspended() (time.Duration, error) {
+	suspended, err := s.source.Suspended()
+	return suspended - s.before, err
+}
+
+// Now returns the time since the start. It never decreases. The monotonic clock stands
+// still while a machine is suspended, and the wall clock, which does not, may be set. So
+// the boot clock is read, but only when these two disagree or after checkInterval, since
+// reading it takes a system call.
 func (c *Clock) Now() time.Duration {
-	now := time.Now()
-	monotonic := now.Sub(c.start)
-	wall := now.Round(0).Sub(c.start.Round(0))
-	reading := int64(max(monotonic, wall)) + 1
+	monotonic, wall := c.source.Now()
+	ahead := int64(wall - monotonic)
+	drift := time.Duration(ahead - c.ahead.Load())
+	if drift.Abs() >= stepThreshold || int64(monotonic)-c.checkedAt.Load() >= int64(checkInterval) {
+		c.ahead.Store(ahead)
+		c.checkedAt.Store(int64(monotonic))
+		c.countSuspension()
+	}
+	return monotonic + time.Duration(c.suspended.Load()) + 1
+}
+
+// countSuspension adds the time of suspensions since the last call.
+func (c *Clock) countSuspension() {
+	suspended, err := c.source.Suspended()
+	if err != nil {
+		return // New has logged that
+	}
 	for {
-		last := c.last.Load()
-		if reading <= last {
-			return time.Duration(last)
-		}
-		if c.last.CompareAndSwap(last, reading) {
-			return time.Duration(reading)
+		known := c.suspended.Load()
+		if int64(suspended) < known+int64(stepThreshold) || c.suspended.CompareAndSwap(known, int64(suspended)) {
+			return
 		}
 	}
 }
 
-// WallTime returns the wall time of a reading of the clock.
+// WallTime returns the wall time of a reading of the clock, by the wall clock at its start.
 func (c *Clock) WallTime(reading time.Duration) time.Time { return c.start.Add(reading - 1) }
 
 // Stamp is a hybrid logical timestamp (Kulkarni et al., 2014): wall time that is
