roundtripper: take idle times and broken connections by the host's clock

The time at which a reused connection last broke was a wall time: after a step back of the time of day orders avoided idle connections for as long as the step, after a step forward they trusted them too early. Idle times left out suspensions, in which backend servers close idle connections, so that an order could meet one.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -345,8 +345,8 @@
 	}
 	if now-l.sweptAt >= sweepInterval {
 		l.sweptAt = now
-		l.controller.roundTripper.CloseExpired(time.Now())
-		l.controller.relays.CloseExpired(time.Now())
+		l.controller.roundTripper.CloseExpired()
+		l.controller.relays.CloseExpired()
 		l.controller.reach.Retain(l.controller.placer.ServiceNames())
 		l.updateImpaired(now)
 	}
--- a/internal/roundtripper/conn.go
+++ b/internal/roundtripper/conn.go
@@ -22,7 +22,7 @@
 	reader    *bufio.Reader // reads from the connection through limiter
 	limiter   *readLimiter
 	key       string        // pool key of the backend server
-	idleSince time.Time     // when the connection was returned to the pool
+	idleSince time.Duration // when the connection was returned to the pool, on the round tripper's clock; 0 if it never was
 	maxIdle   time.Duration // how long the connection may be idle and still be reused
 	requests  int           // that were sent on the connection
 	refused   []uint64      // hashes of the ids of requests that were refused; at most maxRefused
--- a/internal/roundtripper/pool.go
+++ b/internal/roundtripper/pool.go
@@ -83,7 +83,7 @@
 // its maximum idle time and for at most the longest time, or nil and the cause why
 // there is none. It closes connections that are no longer usable. Those that are
 // only too old for this request stay.
-func (p *pool) get(key string, now time.Time, share float64, longest time.Duration) (*persistConn, dialCause) {
+func (p *pool) get(key string, now time.Duration, share float64, longest time.Duration) (*persistConn, dialCause) {
 	cause := noneIdle
 	for {
 		c, tooOld := p.pop(key, now, share, longest)
@@ -103,7 +103,7 @@
 
 // pop removes and returns the most recently used connection, or nil. If that one
 // is older than the share of its maximum idle time, the others are as well.
-func (p *pool) pop(key string, now time.Time, share float64, longest time.Duration) (c *persistConn, tooOld bool) {
+func (p *pool) pop(key string, now time.Duration, share float64, longest time.Duration) (c *persistConn, tooOld bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[key]
@@ -111,7 +111,7 @@
 		return nil, false
 	}
 	c = list[len(list)-1]
-	if now.Sub(c.idleSince) > min(longest, time.Duration(float64(c.maxIdle)*share)) {
+	if now-c.idleSince > min(longest, time.Duration(float64(c.maxIdle)*share)) {
 		return nil, true
 	}
 	list[len(list)-1] = nil
@@ -136,7 +136,7 @@
 
 // put adds a connection whose last response was read completely. It closes the
 // connection when the pool is full.
-func (p *pool) put(c *persistConn, now time.Time) {
+func (p *pool) put(c *persistConn, now time.Duration) {
 	c.idleSince = now
 	p.mu.Lock()
 	list := p.idle[c.key]
@@ -170,13 +170,13 @@
 }
 
 // closeExpired closes connections that have exceeded their maximum idle time.
-func (p *pool) closeExpired(now time.Time) {
+func (p *pool) closeExpired(now time.Duration) {
 	var closing []*persistConn
 	p.mu.Lock()
 	for key, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idleSince) > c.maxIdle {
+			if now-c.idleSince > c.maxIdle {
 				closing = append(closing, c)
 				p.idleCount--
 				continue
--- a/internal/roundtripper/pool_test.go
+++ b/internal/roundtripper/pool_test.go
@@ -16,7 +16,7 @@
 	p := newPool(2)
 	put := func(key string) net.Conn {
 		local, remote := net.Pipe()
-		p.put(newPersistConn(local, key), time.Unix(0, 0))
+		p.put(newPersistConn(local, key), 0)
 		return remote
 	}
 	closed := func(remote net.Conn) bool {
@@ -28,13 +28,13 @@
 	first, second, third := put("a"), put("b"), put("c")
 	is.True(!closed(first) && !closed(second))
 	is.True(closed(third))
-	popped, _ := p.pop("a", time.Unix(0, 0), 1, time.Minute)
+	popped, _ := p.pop("a", 0, 1, time.Minute)
 	is.True(popped != nil)
 	is.True(!closed(put("c")))
 	p.closeExcept(func(key string) bool { return key == "c" })
 	is.True(closed(second))
 	is.True(!closed(put("d")))
-	p.closeExpired(time.Unix(3600, 0))
+	p.closeExpired(3600 * time.Second)
 	is.Equal(p.idleCount, 0)
 }
 
@@ -47,12 +47,12 @@
 	defer func() { _ = remote.Close() }()
 	c := newPersistConn(local, "a")
 	c.maxIdle = 8 * time.Second
-	p.put(c, time.Unix(0, 0))
-	got, cause := p.get("a", time.Unix(5, 0), 0.5, time.Minute)
+	p.put(c, 0)
+	got, cause := p.get("a", 5*time.Second, 0.5, time.Minute)
 	is.True(got == nil)
 	is.Equal(cause, idleTooOld)
-	got, _ = p.get("a", time.Unix(5, 0), 1, time.Minute)
+	got, _ = p.get("a", 5*time.Second, 1, time.Minute)
 	is.True(got == c)
-	_, cause = p.get("a", time.Unix(5, 0), 1, time.Minute)
+	_, cause = p.get("a", 5*time.Second, 1, time.Minute)
 	is.Equal(cause, noneIdle)
 }
--- a/internal/roundtripper/response.go
+++ b/internal/roundtripper/response.go
@@ -54,7 +54,7 @@
 		return
 	}
 	x.conn.maxIdle = maxIdleTime(resp.Header)
-	x.roundTripper.pool.put(x.conn, time.Now())
+	x.roundTripper.pool.put(x.conn, x.roundTripper.clock.Now())
 }
 
 // reusable reports whether the connection can be used for another request: the
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"magnoliahill.example/magnoliahill/internal/forwarder"
+	"magnoliahill.example/magnoliahill/internal/timekeeper"
 	"magnoliahill.example/magnoliahill/pkg/header"
 )
 
@@ -89,7 +90,8 @@
 type RoundTripper struct {
 	headerNames header.Names
 	pool        *pool
-	brokenAt    atomic.Int64 // Unix time in nanoseconds at which a reused connection last broke without a response
+	clock       *timekeeper.Clock
+	brokenAt    atomic.Int64 // when a reused connection last broke without a response, on the clock; 0 if none did
 }
 
 // Option sets one property of a round tripper.
@@ -102,7 +104,7 @@
 
 // New returns a round tripper that keeps at most maxIdle idle connections in total.
 func New(headerNames header.Names, maxIdle int, options ...Option) *RoundTripper {
-	t := &RoundTripper{headerNames: headerNames, pool: newPool(maxIdle)}
+	t := &RoundTripper{headerNames: headerNames, pool: newPool(maxIdle), clock: timekeeper.New()}
 	for _, option := range options {
 		option(t)
 	}
@@ -122,7 +124,7 @@
 }
 
 // CloseExpired closes connections that have exceeded their maximum idle time.
-func (t *RoundTripper) CloseExpired(now time.Time) { t.pool.closeExpired(now) }
+func (t *RoundTripper) CloseExpired() { t.pool.closeExpired(t.clock.Now()) }
 
 // Retain closes the idle connections to all backend servers that are not listed.
 func (t *RoundTripper) Retain(targets []Target) {
@@ -150,8 +152,8 @@
 		stop()
 		_ = conn.Close()
 	}
-	if errors.Is(err, ErrBadResponse) && !conn.idleSince.IsZero() && conn.limiter.received == 0 && ctx.Err() == nil {
-		t.brokenAt.Store(time.Now().UnixNano())
+	if errors.Is(err, ErrBadResponse) && conn.idleSince != 0 && conn.limiter.received == 0 && ctx.Err() == nil {
+		t.brokenAt.Store(int64(t.clock.Now()))
 	}
 	return resp, err
 }
@@ -168,7 +170,7 @@
 		return errors.Wrap(ErrUnreachable, err.Error())
 	}
 	conn.maxIdle = defaultMaxIdle
-	t.pool.put(conn, time.Now())
+	t.pool.put(conn, t.clock.Now())
 	return nil
 }
 
@@ -176,11 +178,11 @@
 // backend server may close an idle connection at the moment a request is sent,
 // so requests that cannot be retried reuse only recently used connections.
 func (t *RoundTripper) connect(ctx context.Context, target Target, req *Request) (*persistConn, error) {
-	now := time.Now()
+	now := t.clock.Now()
 	share, longest := nonIdempotentIdleShare, time.Duration(math.MaxInt64)
 	if req.Idempotent {
 		share = idempotentIdleShare
-	} else if now.Sub(time.Unix(0, t.brokenAt.Load())) < cautiousPeriod {
+	} else if brokenAt := time.Duration(t.brokenAt.Load()); brokenAt != 0 && now-brokenAt < cautiousPeriod {
 		longest = cautiousIdle
 	}
 	conn, cause := t.pool.get(target.key(), now, share, longest)
