roundtripper, dispatcher: bound the memory that response bodies take

A faulty backend server whose bodies never end filled the memory of the host that called it, and the requests of other callers ended with that host (reported by other operators).

Cause: up to 1 MB of each response was read before any of it was forwarded, with no bound over all requests. Request bodies had one.

Now both share one budget, of which responses take half at most. A response reserves memory before its buffer grows; without memory it is forwarded while it arrives, until the time limit, and an unsigned one is rejected. So the sum is bounded whatever servers send and however late callers read.

TestResponseBeyondTheMemoryIsForwardedWhileItArrives failed before (504, as the host waited for more until the time limit); TestBodiesWithoutEndStayWithinTheMemory watches the sum.

--- a/internal/controller/health.go
+++ b/internal/controller/health.go
@@ -31,6 +31,7 @@
 	l.impaired = impaired
 	scope := l.controller.recorder.Scope()
 	scope.Gauge("request_body_bytes").Update(float64(l.controller.dispatcher.BodyBytes()))
+	scope.Gauge("response_body_bytes").Update(float64(l.controller.dispatcher.ResponseBytes()))
 	scope.Gauge("request_ahead_bytes").Update(float64(l.controller.pipeliner.HeldBytes()))
 	scope.Gauge("backend_servers").Update(float64(len(all)))
 	scope.Gauge("backend_servers_impaired").Update(float64(len(impaired)))
--- a/internal/dispatcher/bodies.go
+++ b/internal/dispatcher/bodies.go
@@ -10,11 +10,17 @@
 	"magnoliahill.example/magnoliahill/pkg/header"
 )
 
-// bodyBudget bounds the bytes of request bodies that the host holds at one time. A
-// host with little memory may have thousands of connections, each with an upload.
+// responseShare is the share of the memory for bodies up to which responses may use it, so
+// that they leave room for requests.
+const responseShare = 0.5
+
+// bodyBudget bounds the bytes of request and response bodies that the host holds at one
+// time. A host with little memory may have thousands of connections, each with an upload or
+// with a response whose body does not end.
 type bodyBudget struct {
-	limit int64 // bytes; 0 means no limit
-	held  atomic.Int64
+	limit     int64        // bytes; 0 means no limit
+	held      atomic.Int64 // of all bodies
+	responses atomic.Int64 // of response bodies; not more than held
 }
 
 // reserve reserves bytes and reports whether they are within the limit. A single
@@ -30,6 +36,33 @@
 
 func (b *bodyBudget) release(bytes int64) { b.held.Add(-bytes) }
 
+// reserveResponse reserves bytes for a response body and reports whether they are within the
+// share of responses.
+func (b *bodyBudget) reserveResponse(bytes int64) bool {
+	if held := b.held.Add(bytes); b.limit > 0 && held > int64(responseShare*float64(b.limit)) {
+		b.held.Add(-bytes)
+		return false
+	}
+	b.responses.Add(bytes)
+	return true
+}
+
+func (b *bodyBudget) releaseResponse(bytes int64) {
+	b.responses.Add(-bytes)
+	b.release(bytes)
+}
+
+// reserveResponse reserves bytes for the body of a response until the call ends. Without
+// memory the response is forwarded while it arrives.
+func (c *call) reserveResponse(bytes int64) bool {
+	if !c.dispatcher.bodies.reserveResponse(bytes) {
+		c.dispatcher.scope.Counter("responses_beyond_memory").Inc(1)
+		return false
+	}
+	c.responseBytes += bytes
+	return true
+}
+
 // readBody buffers a short body before the request is sent, so that no backend
 // server waits for a slow caller.
 func (c *call) readBody() *admitter.Refusal {
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -61,6 +61,7 @@
 	attemptLog    string          // results of the attempts, for the request's log line
 	mayHaveRun    bool            // an attempt ended without proof that the request was not executed
 	bodyBytes     int64           // reserved for the body
+	responseBytes int64           // reserved for the bodies of responses
 	relayedBy     string          // host that relayed the request to this one; "" if the caller sent it
 	maxAttempts   int             // backend servers that the request may be sent to
 	triedRelays   []string        // names of the hosts that the request was relayed to
@@ -92,7 +93,10 @@
 	}
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline-c.dispatcher.clock.Now())
 	defer cancel()
-	defer func() { c.dispatcher.bodies.release(c.bodyBytes) }()
+	defer func() {
+		c.dispatcher.bodies.release(c.bodyBytes)
+		c.dispatcher.bodies.releaseResponse(c.responseBytes)
+	}()
 	if refusal := c.readBody(); refusal != nil {
 		c.refund(refusal)
 		return refusal
@@ -265,7 +269,7 @@
 	headers.Del("Expect")
 	return &roundtripper.Request{
 		Method: c.r.Method, RequestURI: c.r.RequestURI, Host: c.r.Host, ID: c.id, Header: headers,
-		Body: c.body, Length: c.r.ContentLength, Idempotent: c.route.Idempotent(),
+		Body: c.body, Length: c.r.ContentLength, Idempotent: c.route.Idempotent(), Reserve: c.reserveResponse,
 	}
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -183,8 +183,9 @@
 	return func(c *Dispatcher) { c.retries = r }
 }
 
-// WithBodyMemory limits the bytes of request bodies that the host holds at one
-// time. Requests whose bodies do not fit are refused.
+// WithBodyMemory limits the bytes of request and response bodies that the host holds at
+// one time. Requests whose bodies do not fit are refused, and responses are forwarded while
+// they arrive.
 func WithBodyMemory(bytes int64) Option {
 	return func(c *Dispatcher) { c.bodies.limit = bytes }
 }
@@ -243,7 +244,10 @@
 func (c *Dispatcher) InFlight() int64 { return c.inFlight.Load() }
 
 // BodyBytes returns the bytes of request bodies that the host holds.
-func (c *Dispatcher) BodyBytes() int64 { return c.bodies.held.Load() }
+func (c *Dispatcher) BodyBytes() int64 { return c.bodies.held.Load() - c.bodies.responses.Load() }
+
+// ResponseBytes returns the bytes of response bodies that the host holds.
+func (c *Dispatcher) ResponseBytes() int64 { return c.bodies.responses.Load() }
 
 // Idempotent reports whether requests with this Host header and path may be executed
 // more than once. It is false if there is no route for them.
--- a/internal/roundtripper/response.go
+++ b/internal/roundtripper/response.go
@@ -90,28 +90,54 @@
 	return defaultMaxIdle
 }
 
-// readBody reads the response body. It reads only the beginning of a long body
-// and leaves the remainder in Rest.
+// readBody reads the response body. It reads only the beginning of a long body, or of one
+// for which there is no memory, and leaves the remainder in Rest.
 func (x *exchange) readBody(resp *http.Response) (*Response, error) {
-	var body bytes.Buffer
-	body.Grow(int(min(max(resp.ContentLength, 0), maxInitialBuffer)))
-	n, err := io.Copy(&body, io.LimitReader(resp.Body, maxBufferedBody+1))
+	body, whole, err := x.readBeginning(resp)
 	if err != nil {
 		return nil, errors.Wrap(ErrBadResponse, err.Error())
 	}
-	result := &Response{Status: resp.StatusCode, Header: resp.Header, Body: body.Bytes(), Length: resp.ContentLength}
-	if n > maxBufferedBody {
+	result := &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Length: resp.ContentLength}
+	if !whole {
 		if !x.signed(resp) {
 			return nil, errors.Wrap(ErrBadResponse, "long body without a signature")
 		}
 		result.Rest = &restReader{exchange: x, resp: resp}
 		return result, nil
 	}
-	result.Length = n
+	result.Length = int64(len(body))
 	x.release(resp)
 	return result, nil
 }
 
+// readBeginning reads the body until it ends, is too long to be buffered, or no memory can
+// be reserved for more. It reports whether it read the whole body.
+func (x *exchange) readBeginning(resp *http.Response) (body []byte, whole bool, err error) {
+	size := int(min(max(resp.ContentLength, 0), maxInitialBuffer)) + bytes.MinRead
+	if size > minBuffer && !x.req.reserve(size) {
+		size = minBuffer
+	}
+	body = make([]byte, 0, size)
+	for {
+		n, err := resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF:
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		case len(body) < cap(body):
+			continue
+		}
+		// The smaller buffer is in use until its bytes are copied, and counts until the end.
+		size = min(2*cap(body), maxBufferedBody+1)
+		if len(body) > maxBufferedBody || !x.req.reserve(size) {
+			return body, false, nil
+		}
+		body = append(make([]byte, 0, size), body...)
+	}
+}
+
 // restReader reads the remainder of a long response body while it is forwarded.
 type restReader struct {
 	exchange *exchange
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -42,6 +42,7 @@
 const (
 	maxBufferedBody        = 1 << 20  // bytes of a response that are read before any are forwarded
 	maxInitialBuffer       = 64 << 10 // maximum bytes allocated for a response body before it is read
+	minBuffer              = 4 << 10  // bytes of a response body that are read without a reservation
 	maxHeadBytes           = 64 << 10 // bytes of the heads that are read for one request; the limit for callers' heads is the same
 	maxMismatched          = 4        // responses to other requests that are skipped
 	nonIdempotentIdleShare = 0.5      // share of its maximum idle time after which a connection is not reused
@@ -75,8 +76,13 @@
 	Body       *forwarder.Body
 	Length     int64 // of the body in bytes; -1 if unknown
 	Idempotent bool
+	// Reserve reserves memory for the body of the response, which the sender of the request
+	// releases with it, and reports whether there is any. If it is nil there always is.
+	Reserve func(bytes int64) bool
 }
 
+func (r *Request) reserve(bytes int) bool { return r.Reserve == nil || r.Reserve(int64(bytes)) }
+
 // Response is the response of a backend server.
 type Response struct {
 	Status int
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -49,6 +49,7 @@
 	ForgottenIdle     Fault = "forgotten-idle" // responds, and resets the connection when the next request arrives
 	EndlessSigned     Fault = "endless-signed" // sends a signed status 200 and a body that never ends
 	LongCutShort      Fault = "long-cut-short" // announces 2 MB, sends three quarters and closes the connection
+	StalledBody       Fault = "stalled-body"   // sends a signed status 200 and 300,000 bytes of a body without a length, and then nothing
 	ResetMidway       Fault = "reset-midway"   // reads the beginning of the body and resets the connection
 	StalledShed       Fault = "stalled-shed"   // like Shed, but the announced body never arrives
 )
@@ -366,6 +367,10 @@
 	case EndlessSigned:
 		t.writeEndless(conn, "HTTP/1.1 200 OK\r\n"+t.headers.RequestID+": "+id+"\r\n"+t.headers.ResponseStamp+": s."+id+"\r\n\r\n", strings.Repeat("x", 64<<10), time.Millisecond)
 		return false
+	case StalledBody:
+		t.write(conn, "HTTP/1.1 200 OK\r\n"+t.headers.RequestID+": "+id+"\r\n"+t.headers.ResponseStamp+": s."+id+"\r\n\r\n"+strings.Repeat("x", 300_000))
+		_, _ = io.Copy(io.Discard, conn) // ends when the client closes the connection
+		return false
 	case LongCutShort:
 		t.write(conn, t.formatHead("200 OK", id, 2<<20, "")+strings.Repeat("x", 3<<19))
 		return false
