dispatcher: abort connections whose refused body does not arrive

Cause: after a response that does not wait for the body the host reads on until a read deadline, and the server then took what came next for a request: with full duplex nothing looks at whether the body ended.

Now such a connection is aborted, once its response is out with a length; a response without one announces the close. So bytes of a body are never parsed as a request.

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -54,6 +54,7 @@
 	deadline      time.Duration // latest time for the response, on the host's clock
 	body          *forwarder.Body
 	unread        bool // the response does not wait for the rest of the body
+	aborts        bool // the connection cannot be used again, though its response did not say so
 	budget        *limiter.RetryBudget
 	triedIDs      []string // instance IDs of the backend servers chosen so far, in order
 	sentAttempts  int      // attempts that may have reached a backend server
@@ -82,6 +83,9 @@
 	if refusal := c.dispatch(); refusal != nil {
 		c.refuse(refusal)
 	}
+	if c.aborts {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // dispatch sends the request to backend servers and writes the response, or
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -127,6 +127,8 @@
 	headers.Set(c.dispatcher.headerNames.RequestID, c.id)
 	headers.Set("Content-Type", "text/plain; charset=utf-8")
 	headers.Set(header.Reason, refusal.Reason())
+	text := refusal.Error() + "\n"
+	headers.Set("Content-Length", strconv.Itoa(len(text)))
 	c.expectUnread()
 	if after := refusal.RetryAfter(); after > 0 {
 		headers.Set("Retry-After", c.dispatcher.codec.FormatRetryAfter(after))
@@ -136,7 +138,7 @@
 		headers.Set(header.RelayRetryAfter, strconv.FormatInt(refusal.RetryAfter().Milliseconds(), 10))
 	}
 	c.w.WriteHeader(refusal.Status())
-	_, _ = io.WriteString(c.w, refusal.Error()+"\n") // an error means that the caller closed the connection
+	_, _ = io.WriteString(c.w, text) // an error means that the caller closed the connection
 	c.discardUnread()
 	if c.route != nil && c.relayedBy == "" {
 		c.dispatcher.latency.NotAnswered(c.latencyKey(), refusal.Reason() == header.ReasonOverRate, refusal.Outcome() == header.OutcomeUnknown)
