--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -29,10 +29,6 @@
 	noConfigRetryAfter = 500 * time.Millisecond // a starting host has loaded its configuration by then
 	stoppingRetryAfter = 50 * time.Millisecond  // another host accepts the request at once
 	minRetryAfter      = 100 * time.Millisecond // two round trips between regions
-	// Requests that may outlast a planned stop are sent if so many times their expected
-	// run time is left. Orders cannot be repeated once they were broken off.
-	longRunShare   = 2.0
-	longOrderShare = 4.0
 	// retryAfterShare is the share of the time left over which retries of refused
 	// requests are spread. Callers wait for at most a third of it.
 	retryAfterShare = 0.3
@@ -213,28 +209,6 @@
 	}
 }
 
-// refuseIfStopping returns a refusal if the host began to stop and would break the request
-// off. The host may have accepted the request before: its body, its charge or another copy
-// of it took time.
-func (c *call) refuseIfStopping(now time.Duration) *admitter.Refusal {
-	current := c.dispatcher.snapshot.Load()
-	if current.phase != Leaving {
-		return nil
-	}
-	share := longRunShare
-	if !c.route.Idempotent() {
-		share = longOrderShare
-	}
-	expected := time.Duration(share * float64(c.dispatcher.placer.LongestRun(c.query(c.deadline-now))))
-	if current.allows(now, c.deadline, expected) {
-		return nil
-	}
-	if c.mayHaveRun {
-		return admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonConnectionBroken, "the backend server's answer is broken or missing")
-	}
-	return unavailable(header.ReasonStopping, "the host is stopping, use another", stoppingRetryAfter)
-}
-
 // affinityObject returns the object whose requests go to the same backend server,
 // or "" if the route is not sticky. Copies of a suspected request go to the same server
 // from all hosts, and different suspects to different ones, so that a crash tells which
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -32,15 +32,21 @@
 	Runs   int
 }
 
-func TestBackendFaults(t *testing.T) {
-	data, err := os.ReadFile("testdata/faults.yaml")
+// readCases reads the cases of a test from a data file.
+func readCases(t *testing.T, file string, cases any) {
+	t.Helper()
+	data, err := os.ReadFile("testdata/" + file)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var cases []faultCase
-	if err := yaml.Unmarshal(data, &cases); err != nil {
+	if err := yaml.Unmarshal(data, cases); err != nil {
 		t.Fatal(err)
 	}
+}
+
+func TestBackendFaults(t *testing.T) {
+	var cases []faultCase
+	readCases(t, "faults.yaml", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/dispatcher/relay_test.go
+++ b/internal/dispatcher/relay_test.go
@@ -5,14 +5,12 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"go.yaml.in/yaml/v3"
 
 	"magnoliahill.example/magnoliahill/internal/dispatcher"
 	"magnoliahill.example/magnoliahill/internal/roundtripper"
@@ -86,14 +84,8 @@
 }
 
 func TestRelayedRequestsEndAsTheyWouldWithoutTheRelay(t *testing.T) {
-	data, err := os.ReadFile("testdata/relays.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var cases []relayCase
-	if err := yaml.Unmarshal(data, &cases); err != nil {
-		t.Fatal(err)
-	}
+	readCases(t, "relays.yaml", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/dispatcher/stop_test.go
+++ b/internal/dispatcher/stop_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"net/http"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"go.yaml.in/yaml/v3"
 
 	"magnoliahill.example/magnoliahill/internal/dispatcher"
 	"magnoliahill.example/magnoliahill/pkg/header"
@@ -37,14 +35,8 @@
 // Guards against requests that a stopping host takes and then breaks off while their
 // backend servers are at work, orders among them, whose callers cannot repeat them.
 func TestStoppingHostSendsOnlyRequestsThatItWillSeldomBreakOff(t *testing.T) {
-	data, err := os.ReadFile("testdata/stops.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var cases []stopCase
-	if err := yaml.Unmarshal(data, &cases); err != nil {
-		t.Fatal(err)
-	}
+	readCases(t, "stops.yaml", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/dispatcher/upload_test.go
+++ b/internal/dispatcher/upload_test.go
@@ -6,13 +6,11 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"go.yaml.in/yaml/v3"
 
 	"magnoliahill.example/magnoliahill/internal/standin/target"
 	"magnoliahill.example/magnoliahill/pkg/header"
@@ -153,14 +151,8 @@
 // Guards against uploads that run with a part missing after an early rejection, and against
 // other bytes where the rest of a body is due.
 func TestUploadThatIsSentAgainIsWhole(t *testing.T) {
-	data, err := os.ReadFile("testdata/uploads.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var cases []uploadCase
-	if err := yaml.Unmarshal(data, &cases); err != nil {
-		t.Fatal(err)
-	}
+	readCases(t, "uploads.yaml", &cases)
 	var lines strings.Builder
 	for i := range 12_000 {
 		fmt.Fprintf(&lines, "line %06d of an upload\n", i)
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -188,14 +188,6 @@
 	return append([]Execution(nil), t.runs...)
 }
 
-// Unexecuted returns the bodies, or their beginnings, of the requests to which the target
-// responded early. They are known once the body or its connection has ended.
-func (t *Responder) Unexecuted() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return append([]string(nil), t.unexecuted...)
-}
-
 // Connections returns the number of connections accepted so far.
 func (t *Responder) Connections() int {
 	t.mu.Lock()
@@ -302,23 +294,6 @@
 	return t.sendResponse(conn, fault, id, "answer to "+id)
 }
 
-const earlyMidwayBytes = 100_000
-
-// respondEarly writes a response when the beginning of the body has arrived, reads on, and
-// reports whether the connection stays open.
-func (t *Responder) respondEarly(conn net.Conn, r *http.Request, beginning int64, response string) bool {
-	var body strings.Builder
-	_, err := io.CopyN(&body, r.Body, beginning)
-	ok := err == nil && t.write(conn, response)
-	if ok {
-		_, err = io.Copy(&body, r.Body)
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.unexecuted = append(t.unexecuted, body.String())
-	return ok && err == nil
-}
-
 // formatShed returns a response that reports the request as not executed.
 func (t *Responder) formatShed(id string) string {
 	return "HTTP/1.1 503 Service Unavailable\r\n" + t.headers.RequestID + ": " + id + "\r\n" + t.headers.NotRun + ": 1\r\n" +
