server: start hosts of tests on listeners that stay open

No host was wrong; the test did not get as far as one.

Cause: the tests of the server, the scripts of the commander and the demo looked for a free port, closed it and opened it again some time later. Packages are tested side by side, and another process that asked for a free port at 127.0.0.1 in between was given this one. The port of the failure is odd, as those that Linux gives to listeners are; outgoing connections get even ones first.

Change: the option WithListeners hands open listeners to a daemon, and the tests of the server and the demo use it, so that nothing is closed in between. Hosts of the scripts are other processes; their addresses are loopback addresses of their own, at which no other process asks for a port.

The tests of the platform take ports below those that the system gives out, and the soak and the stand-ins for backend servers use addresses of their own; these stay.

--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http/httptest"
 	"os"
 	"testing"
@@ -12,6 +11,7 @@
 	"magnoliahill.example/magnoliahill/internal/commander"
 	"magnoliahill.example/magnoliahill/internal/standin/backend"
 	"magnoliahill.example/magnoliahill/internal/standin/platform"
+	"magnoliahill.example/magnoliahill/internal/standin/target"
 	adapter "magnoliahill.example/magnoliahill/platform"
 	"magnoliahill.example/magnoliahill/platform/standin"
 )
@@ -70,9 +70,10 @@
 	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(text), 0o600))
 }
 
-// freeAddress returns a loopback address with a port that was free just now.
+// freeAddress returns an address with a port that was free just now. Other processes
+// take their ports at other loopback addresses.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := target.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -141,25 +141,16 @@
 	return nil
 }
 
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress() (string, error) {
-	l, err := listen()
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 func (f *fleet) startHost(name, zone string) error {
-	dataAddress, err := freeAddress()
+	data, err := listen()
 	if err != nil {
 		return err
 	}
-	controlAddress, err := freeAddress()
+	control, err := listen()
 	if err != nil {
 		return err
 	}
+	dataAddress, controlAddress := data.Addr().String(), control.Addr().String()
 	settings, err := loader.Parse(name+".yaml", []byte(f.settingsFile(name, zone, dataAddress, controlAddress)))
 	if err != nil {
 		return err
@@ -174,7 +165,8 @@
 		server.WithStore(store),
 		server.WithMessenger(messenger.New(messenger.WithPartition(cut))),
 		server.WithForwarder(forwarder.New(forwarder.WithTransportWrapper(f.links.wrapTransport(zone)))),
-		server.WithAuditor(f.auditor))
+		server.WithAuditor(f.auditor),
+		server.WithListeners(data, control))
 	if err != nil {
 		return err
 	}
--- a/internal/server/host_test.go
+++ b/internal/server/host_test.go
@@ -38,7 +38,7 @@
 
 // startHostWith is startHost with additional fields in the listen section of
 // the settings.
-func startHostWith(t testing.TB, listen, service string, backends ...string) *host {
+func startHostWith(t testing.TB, listenFields, service string, backends ...string) *host {
 	h := &host{t: t, platform: platform.New(), done: make(chan error, 1)}
 	ps := httptest.NewServer(h.platform)
 	t.Cleanup(ps.Close)
@@ -57,7 +57,8 @@
 		"w.yaml":        "kind: workspace\nworkspace: w\nservices: [orders]\nrate: 1000000\nburst: 1000000",
 		"keys.yaml":     "kind: keys\nkeys-of: w\nkeys: [{id: k, sha256: " + cataloger.HashKey(testKey).String() + "}]",
 	})
-	h.dataAddress = freeAddress(t)
+	data, control := listen(t), listen(t)
+	h.dataAddress = data.Addr().String()
 	settings, err := loader.Parse("h.yaml", []byte(fmt.Sprintf(`
 host: {name: h, zone: z}
 listen: {data: %q, control: %q, %s}
@@ -66,11 +67,11 @@
 membership: {heartbeat: 20ms, silence: 1s}
 lookup: {ttl: 10ms}
 stop: {quiet: 10ms}
-`, h.dataAddress, freeAddress(t), listen, ps.URL)))
+`, h.dataAddress, control.Addr(), listenFields, ps.URL)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if h.server, err = server.New(settings); err != nil {
+	if h.server, err = server.New(settings, server.WithListeners(data, control)); err != nil {
 		t.Fatal(err)
 	}
 	if err := h.server.Listen(); err != nil {
@@ -84,13 +85,14 @@
 
 const backendServers = "backend-servers:"
 
-func freeAddress(t testing.TB) string {
+// listen opens a listener and leaves it open: another process could take a port that
+// was found free and closed again.
+func listen(t testing.TB) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return l
 }
 
 func (h *host) publish(files map[string]string) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -92,6 +92,12 @@
 // WithAuditor sets the auditor of the requests that limits admit.
 func WithAuditor(a Auditor) Option { return func(s *Server) { s.auditor = a } }
 
+// WithListeners sets listeners that are already open. They listen at the addresses
+// in the settings, which the daemon announces to callers and other hosts.
+func WithListeners(data, control net.Listener) Option {
+	return func(s *Server) { s.dataListener, s.controlListener = data, control }
+}
+
 // New returns a daemon that is not listening yet. It returns an error when a
 // state chart cannot be loaded.
 func New(settings *loader.Settings, options ...Option) (*Server, error) {
@@ -147,8 +153,11 @@
 // ID returns the daemon's host id.
 func (s *Server) ID() tracker.HostID { return s.id }
 
-// Listen opens both listeners.
+// Listen opens both listeners, unless WithListeners set them.
 func (s *Server) Listen() error {
+	if s.dataListener != nil {
+		return nil
+	}
 	var err error
 	if s.controlListener, err = net.Listen("tcp", s.settings.Listen().Control()); err != nil {
 		return errors.Wrap(err, "control listener could not be opened")
