forwarder, caller: give servers of tests loopback addresses of their own

The servers now listen as the stand-ins for backend servers do, each at an address of its own. Assertions are the same; both packages pass with the race detector.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"magnoliahill.example/magnoliahill/internal/forwarder"
+	"magnoliahill.example/magnoliahill/internal/standin/target"
 	"magnoliahill.example/magnoliahill/pkg/header"
 )
 
@@ -28,7 +29,7 @@
 // startRawServer starts a server that calls handle for each request with its
 // number, starting at 1. It closes the connection when handle returns false.
 func startRawServer(t *testing.T, handle func(n int64, r *http.Request, conn net.Conn) bool) *rawServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := target.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"magnoliahill.example/magnoliahill/internal/standin/target"
 	"magnoliahill.example/magnoliahill/pkg/caller"
 	"magnoliahill.example/magnoliahill/pkg/header"
 )
@@ -24,8 +25,14 @@
 }
 
 func newFakeHost(t *testing.T, others []*fakeHost, handle http.HandlerFunc) *fakeHost {
+	// Each host has an address of its own, so that no other process can take the port
+	// of one that has been closed.
+	listener, err := target.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
 	e := &fakeHost{}
-	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	e.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/.well-known/magnoliahill/hosts" {
 			e.lookups.Add(1)
 			list := fmt.Sprintf(`{"address":%q,"zone":"z","weight":1000000}`, e.address())
@@ -37,7 +44,8 @@
 		}
 		e.requests.Add(1)
 		handle(w, r)
-	}))
+	})}}
+	e.server.Start()
 	t.Cleanup(e.server.Close)
 	return e
 }
