roundtripper: ask once for the memory of a response

The counter responses_beyond_memory counted a response twice if its length was known: the first refusal came before the body was read, the second one when the small buffer was full. If memory was freed between the two, the body was copied once more and then forwarded late.

A body that is refused memory is now forwarded from then on. TestResponseWithoutMemoryAsksForItOnce failed before with a known length (2 refusals) and passes; without a length it passed before.

--- a/internal/roundtripper/response.go
+++ b/internal/roundtripper/response.go
@@ -114,7 +114,8 @@
 // be reserved for more. It reports whether it read the whole body.
 func (x *exchange) readBeginning(resp *http.Response) (body []byte, whole bool, err error) {
 	size := int(min(max(resp.ContentLength, 0), maxInitialBuffer)) + bytes.MinRead
-	if size > minBuffer && !x.req.reserve(size) {
+	refused := size > minBuffer && !x.req.reserve(size)
+	if refused {
 		size = minBuffer
 	}
 	body = make([]byte, 0, size)
@@ -131,7 +132,7 @@
 		}
 		// The smaller buffer is in use until its bytes are copied, and counts until the end.
 		size = min(2*cap(body), maxBufferedBody+1)
-		if len(body) > maxBufferedBody || !x.req.reserve(size) {
+		if refused || len(body) > maxBufferedBody || !x.req.reserve(size) {
 			return body, false, nil
 		}
 		body = append(make([]byte, 0, size), body...)
--- a/internal/roundtripper/roundtripper_test.go
+++ b/internal/roundtripper/roundtripper_test.go
@@ -150,3 +150,29 @@
 	}
 	is.Equal(dials.Load(), int64(2))
 }
+
+// Guards against a response without memory that is counted twice.
+func TestResponseWithoutMemoryAsksForItOnce(t *testing.T) {
+	for _, head := range []string{"Content-Length: 100000", "Connection: close"} {
+		t.Run(head, func(t *testing.T) {
+			is := is.New(t)
+			body := strings.Repeat("x", 100_000)
+			address, _ := script{texts: []string{"HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signature: s\r\n" + head + "\r\n\r\n" + body}, closes: true}.serve(t)
+			rt := roundtripper.New(headerNames, 10)
+			defer rt.Close()
+			refusals := 0
+			req := newRequest(http.MethodGet, "a")
+			req.Reserve = func(int64) bool {
+				refusals++
+				return false
+			}
+			resp, err := rt.RoundTrip(t.Context(), roundtripper.Target{Address: address, Instance: "i-1"}, req)
+			is.NoErr(err)
+			rest, err := io.ReadAll(resp.Rest)
+			is.NoErr(err)
+			is.NoErr(resp.Rest.Close())
+			is.Equal(len(resp.Body)+len(rest), len(body))
+			is.Equal(refusals, 1)
+		})
+	}
+}
