dispatcher: test the memory for bodies over a relay

Of two hosts, one of which relays, both hold a response. That both keep to their memory was not shown. Cause of the good case: the relayed request asks for memory as other requests do.

--- a/internal/dispatcher/memory_test.go
+++ b/internal/dispatcher/memory_test.go
@@ -33,13 +33,25 @@
 
 // Guards against the same with many callers at once. Requests with bodies still have room.
 func TestBodiesWithoutEndStayWithinTheMemory(t *testing.T) {
-	is := is.New(t)
 	s := newTestHost(t, 1, dispatcher.WithBodyMemory(bodyMemory))
+	floodWithBodiesWithoutEnd(t, s, s)
+}
+
+// Guards against the same where the host relays the requests: both hosts hold the bodies.
+func TestBodiesWithoutEndOverARelayStayWithinTheMemory(t *testing.T) {
+	p := newRelayPair(t, 1, false, dispatcher.WithBodyMemory(bodyMemory))
+	floodWithBodiesWithoutEnd(t, p.near, p.far)
+}
+
+// floodWithBodiesWithoutEnd sends many requests at once to a host. The far host has the
+// backend server.
+func floodWithBodiesWithoutEnd(t *testing.T, near, far *testHost) {
+	is := is.New(t)
 	var group sync.WaitGroup
 	for i := range callersOnce {
-		s.backends[0].QueueFaults(target.EndlessSigned)
+		far.backends[0].QueueFaults(target.EndlessSigned)
 		group.Go(func() {
-			if got := s.send(http.MethodGet, "/slow/", fmt.Sprint("id-", i), "", headerNames.Deadline, "400"); !got.broken && got.status == http.StatusOK {
+			if got := near.send(http.MethodGet, "/slow/", fmt.Sprint("id-", i), "", headerNames.Deadline, "400"); !got.broken && got.status == http.StatusOK {
 				t.Error("a response without end looks complete")
 			}
 		})
@@ -49,17 +61,20 @@
 		group.Wait()
 		close(done)
 	}()
-	most := int64(0)
+	mostNear, mostFar := int64(0), int64(0)
 	for {
 		select {
 		case <-done:
-			is.True(most > 0)
-			is.True(most <= bodyMemory/2)
-			is.Equal(s.dispatcher.ResponseBytes(), int64(0))
-			is.Equal(s.send(http.MethodPost, "/order/", "last", "brooms").status, http.StatusOK)
+			is.True(mostNear > 0)
+			is.True(mostFar > 0)
+			is.True(mostNear <= bodyMemory/2)
+			is.True(mostFar <= bodyMemory/2)
+			is.Equal(near.dispatcher.ResponseBytes(), int64(0))
+			is.Equal(near.send(http.MethodPost, "/order/", "last", "brooms").status, http.StatusOK)
 			return
 		case <-time.After(time.Millisecond):
-			most = max(most, s.dispatcher.ResponseBytes())
+			mostNear = max(mostNear, near.dispatcher.ResponseBytes())
+			mostFar = max(mostFar, far.dispatcher.ResponseBytes())
 		}
 	}
 }
--- a/internal/dispatcher/relay_test.go
+++ b/internal/dispatcher/relay_test.go
@@ -53,13 +53,16 @@
 	relayed   *httptest.Server // the far host's listener for relayed requests
 }
 
-// newRelayPair starts a pair of hosts, of which the far one has the backend servers.
-func newRelayPair(t *testing.T, servers int, farReach lostReach) *relayPair {
+// newRelayPair starts a pair of hosts, of which the far one has the backend servers. The
+// options are for both.
+func newRelayPair(t *testing.T, servers int, farReach lostReach, options ...dispatcher.Option) *relayPair {
 	p := &relayPair{relays: &fixedRelays{RoundTripper: roundtripper.New(headerNames, 10)}}
 	t.Cleanup(p.relays.Close)
 	nobody := &fixedRelays{RoundTripper: roundtripper.New(headerNames, 10)}
-	p.near = newTestHost(t, 0, dispatcher.WithRelays("near", lostReach(true), p.relays, func(string) {}))
-	p.far = newTestHost(t, servers, dispatcher.WithRelays("far", farReach, nobody, func(string) {}))
+	near := dispatcher.WithRelays("near", lostReach(true), p.relays, func(string) {})
+	far := dispatcher.WithRelays("far", farReach, nobody, func(string) {})
+	p.near = newTestHost(t, 0, slices.Concat(options, []dispatcher.Option{near})...)
+	p.far = newTestHost(t, servers, slices.Concat(options, []dispatcher.Option{far})...)
 	listener, err := target.Listen()
 	if err != nil {
 		t.Fatal(err)
