controller: fetch all objects again if they differ from a watching host's

What callers would see: a backend server that has left goes on to get requests from the hosts of a zone that do not watch the store, until something else changes there.

Cause: positions are the highest revision that a host knows. When the watching hosts that saw a removal crash before they passed it on, or nobody watched at the time, a host that starts and lists the store then knows neither the object nor the removal. Its position is no higher than those of its neighbours, so that none fetches.

Evidence: with one restart of a host, TestNoChangeDuringAListInPagesIsLost failed in each of the three cases that have one: write a, page, remove a, page, fetch, restart.

Change: watching hosts send a hash of their objects in gossip, six bytes. A host of their zone that does not watch and is behind nobody compares; a difference that lasts 1.5 s, longer than a stalled watch, makes it fetch all objects, once for one difference. Older builds and those with other kinds are not compared with.

--- a/internal/controller/cache.go
+++ b/internal/controller/cache.go
@@ -1,9 +1,12 @@
 package controller
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"magnoliahill.example/magnoliahill/internal/storer"
 )
 
@@ -28,6 +31,7 @@
 	retained     map[string]retention   // what applies of an earlier era, by name
 	gone         []removal              // latest objects that were removed in any era, the last one last
 	firstEra     int64                  // era of the first list; 0 if it was not known
+	itemsHash    uint32                 // of items; 0 if it is not known
 	retainedAt   int64                  // revision of the list of the present era from which on changes end retentions
 
 	peerPosition   storer.Position // latest position that another host reported
@@ -58,6 +62,19 @@
 	return true
 }
 
+// hash returns a hash of the objects, which does not depend on their order. Equal objects
+// of two hosts have equal hashes whatever the hosts' positions are.
+func (c *objectCache) hash() uint32 {
+	if c.itemsHash == 0 {
+		var buffer []byte
+		for name, item := range c.items {
+			buffer = binary.LittleEndian.AppendUint64(append(buffer[:0], c.kind...), uint64(item.Revision()))
+			c.itemsHash += uint32(xxhash.Sum64(append(buffer, name...)))
+		}
+	}
+	return c.itemsHash
+}
+
 // advance raises the cache's revision.
 func (c *objectCache) advance(revision int64) {
 	c.position = storer.NewPosition(c.position.Era(), max(c.position.Revision(), revision))
@@ -96,6 +113,7 @@
 	}
 	c.listed = true
 	c.incomplete = false
+	c.itemsHash = 0
 	c.items = make(map[string]storer.Item, len(all.Items()))
 	c.advance(firstRevision)
 	for _, item := range all.Items() {
@@ -203,6 +221,7 @@
 		if c.reflects(item) {
 			continue
 		}
+		c.itemsHash = 0
 		applied = append(applied, item)
 		c.advance(min(item.Revision(), changed.Revision()))
 		if !item.Deleted() {
--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -200,6 +200,7 @@
 		}
 		m.Positions = append(m.Positions, revision)
 	}
+	m.ObjectsHash = l.watchedObjectsHash(m.GetEra())
 	return m
 }
 
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -86,10 +86,11 @@
 	sliceSize           int                  // recipients that get their messages at once
 	sliceInterval       time.Duration        // between slices of a gossip round
 	sweptAt             time.Duration
-	fetching            bool                        // objects are being fetched from another host
-	retainingPeer       string                      // control address of a host that retains objects which this host may lack; empty if there is none
-	firstListAt         time.Duration               // when this host, having listed the store lately, first heard of retained objects; 0 if never
-	retentionQueryAfter time.Duration               // time before which retained objects are not queried again
+	fetching            bool          // objects are being fetched from another host
+	retainingPeer       string        // control address of a host that retains objects which this host may lack; empty if there is none
+	firstListAt         time.Duration // when this host, having listed the store lately, first heard of retained objects; 0 if never
+	retentionQueryAfter time.Duration // time before which retained objects are not queried again
+	divergence          divergence
 	peerSuspects        map[string]uint64           // hash of each host's records of suspected requests, by host name; hosts without records are left out
 	suspectsAnnouncedAt time.Duration               // 0 if never
 	announcementDue     bool                        // an announcement of suspected requests is delayed
--- a/internal/controller/paging_test.go
+++ b/internal/controller/paging_test.go
@@ -23,14 +23,16 @@
 	objects  []storer.Item // in the store, by page; without a name if there is none
 	history  []storer.Item // all changes
 	hosts    []pagedHost
+	restarts int
 	limits   *pagedLimits
 }
 
 // pagedLimits bounds the exploration and does not change.
 type pagedLimits struct {
-	era     int64
-	writes  int64 // after the first state of all objects
-	objects int
+	era      int64
+	writes   int64 // after the first state of all objects
+	objects  int
+	restarts int
 }
 
 // pagedHost is a host with the list or the watch that it has at the store.
@@ -71,6 +73,7 @@
 // key identifies the state.
 func (w pagedWorld) key() string {
 	var b strings.Builder
+	fmt.Fprint(&b, w.restarts)
 	for _, item := range w.history {
 		fmt.Fprint(&b, item.Name(), item.Deleted())
 	}
@@ -122,6 +125,9 @@
 		}
 	}
 	for i, h := range w.hosts {
+		if w.restarts < w.limits.restarts && h.cache.listed {
+			add(func(w *pagedWorld) { w.restart(i) }, "restart of ", i)
+		}
 		if h.watches {
 			add(func(w *pagedWorld) { w.readPage(i) }, "page to ", i)
 		}
@@ -173,14 +179,24 @@
 	h.cache.resync()
 }
 
+// restart makes a host lose what it knows.
+func (w *pagedWorld) restart(host int) {
+	w.restarts++
+	w.hosts[host] = pagedHost{cache: newObjectCache("k"), watches: w.hosts[host].watches, floors: make([]int64, len(w.objects))}
+}
+
 func (w *pagedWorld) canFetch(to, from int) bool {
 	target, source := w.hosts[to].cache, w.hosts[from].cache
-	resync := target.incomplete && w.hosts[from].watches
+	differs := !w.hosts[to].watches && target.listed && target.hash() != source.hash()
+	resync := (target.incomplete || differs) && w.hosts[from].watches
 	return source.listed && (resync || target.appliedPosition().Before(source.position))
 }
 
 func (w *pagedWorld) fetch(to, from int) {
 	target, source := w.hosts[to].cache, w.hosts[from].cache
+	if !target.appliedPosition().Before(source.position) {
+		target.resync() // the objects differ
+	}
 	objects, changes := source.changesSince(target.missing())
 	if target.accepts(objects, source.historyStart, changes) {
 		target.merge(objects, source.historyStart, changes, w.hosts[from].watches)
@@ -306,20 +322,23 @@
 // although they drain: a change that came while a host listed the servers in pages was
 // lost, on that host or on those that it passes objects to.
 func TestNoChangeDuringAListInPagesIsLost(t *testing.T) {
-	for _, c := range []struct{ era, watchers, others, objects int }{
-		{0, 1, 1, 2},
-		{1, 1, 1, 2},
-		{0, 2, 0, 2},
-		{1, 2, 0, 2},
-		{0, 1, 2, 2},
-		{1, 1, 2, 2},
-		{0, 2, 1, 2},
-		{1, 2, 1, 2},
-		{1, 1, 1, 3},
+	for _, c := range []struct{ era, watchers, others, objects, restarts int }{
+		{0, 1, 1, 2, 1},
+		{0, 2, 1, 2, 1},
+		{1, 1, 2, 2, 1},
+		{0, 1, 1, 2, 0},
+		{1, 1, 1, 2, 0},
+		{0, 2, 0, 2, 0},
+		{1, 2, 0, 2, 0},
+		{0, 1, 2, 2, 0},
+		{1, 1, 2, 2, 0},
+		{0, 2, 1, 2, 0},
+		{1, 2, 1, 2, 0},
+		{1, 1, 1, 3, 0},
 	} {
 		t.Run(fmt.Sprintf("era %d, %d watching hosts and %d others, %d pages", c.era, c.watchers, c.others, c.objects), func(t *testing.T) {
 			t.Parallel()
-			limits := &pagedLimits{era: int64(c.era), writes: 3, objects: c.objects}
+			limits := &pagedLimits{era: int64(c.era), writes: 3, objects: c.objects, restarts: c.restarts}
 			seen := map[string]int{}
 			newPagedWorld(limits, c.watchers, c.others).explore(t, seen, nil)
 			t.Logf("%d states of at most %d steps", len(seen), *pagingDepth)
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -76,6 +76,7 @@
 			l.caches[l.kindOrder[i]].recordPeerPosition(now, storer.NewPosition(m.GetEra(), revision), host.Control, m.GetWatching())
 		}
 	}
+	l.compareObjects(now, host, m.Greeting)
 	l.recordPeerRetention(now, m.GetRetained(), m.GetEra(), host.Control)
 	l.config.recordPeerGeneration(now, m.GetGeneration(), host.Control)
 	l.applyStoreState(now, host, m.Greeting)
