timekeeper: subtract the suspension before the start in the clock

A source that wrapped another one only to subtract a constant is now a field. No behaviour changes; the tests of the clock pass as they are.

--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -22,6 +22,7 @@
 type Clock struct {
 	start     time.Time
 	source    source
+	before    time.Duration // for which the machine was suspended before the start
 	suspended atomic.Int64 // nanoseconds since the start; never decreases
 	checkedAt atomic.Int64 // monotonic nanoseconds since the start
 	ahead     atomic.Int64 // what the wall clock was ahead of the monotonic one at that check, in nanoseconds
@@ -46,19 +47,7 @@
 	if err != nil {
 		klog.ErrorS(err, "time of suspension is not counted")
 	}
-	return &Clock{start: start, source: &sinceStart{source: s, before: before}}
-}
-
-// sinceStart is a source whose time of suspension counts from the start of the clock.
-type sinceStart struct {
-	source
-	before time.Duration
-}
-
-// Suspended implements source.
-func (s *sinceStart) Suspended() (time.Duration, error) {
-	suspended, err := s.source.Suspended()
-	return suspended - s.before, err
+	return &Clock{start: start, source: s, before: before}
 }
 
 // Now returns the time since the start. It never decreases. The monotonic clock stands
@@ -83,6 +72,7 @@
 	if err != nil {
 		return // New has logged that
 	}
+	suspended -= c.before
 	for {
 		known := c.suspended.Load()
 		if int64(suspended) < known+int64(stepThreshold) || c.suspended.CompareAndSwap(known, int64(suspended)) {
