--- a/internal/controller/divergence.go
+++ b/internal/controller/divergence.go
@@ -60,11 +60,10 @@
 		return
 	}
 	d := &l.divergence
-	otherWatcher := d.watcher != "" && d.watcher != host.Control
-	if otherWatcher && now-d.since < 2*divergenceTimeout {
-		return
+	if d.watcher != "" && d.watcher != host.Control && now-d.since < 2*divergenceTimeout {
+		return // one host is compared with at a time, unless it may have crashed
 	}
-	if otherWatcher || d.own != own || d.theirs != theirs {
+	if d.watcher != host.Control || d.own != own || d.theirs != theirs {
 		*d = divergence{watcher: host.Control, own: own, theirs: theirs, since: now}
 	}
 	if now-d.since < divergenceTimeout || d.resynced {
