--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -23,9 +23,9 @@
 	start     time.Time
 	source    source
 	before    time.Duration // for which the machine was suspended before the start
-	suspended atomic.Int64 // nanoseconds since the start; never decreases
-	checkedAt atomic.Int64 // monotonic nanoseconds since the start
-	ahead     atomic.Int64 // what the wall clock was ahead of the monotonic one at that check, in nanoseconds
+	suspended atomic.Int64  // nanoseconds since the start; never decreases
+	checkedAt atomic.Int64  // monotonic nanoseconds since the start
+	ahead     atomic.Int64  // what the wall clock was ahead of the monotonic one at that check, in nanoseconds
 }
 
 // source provides the clocks of the machine.
