roundtripper: test that no connection is reused after a suspension

WithClock sets it, and the controller passes that of the host, so that both round trippers read the one clock of the process.

TestConnectionIsNotReusedAfterASuspension: an order after an hour in which the machine was suspended opens a connection, one without a suspension does not.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -146,8 +146,9 @@
 	chart := transitioner.MustLoad("reach")
 	c.reach = reacher.New(chart, string(chart.Initial()))
 	headers := platform.HeaderNames()
-	c.relays = &relays{RoundTripper: roundtripper.New(headers, maxIdleRelays), region: settings.Region}
-	c.roundTripper = roundtripper.New(headers, settings.MaxDescriptors/idleDescriptorDivisor, c.backendOptions...)
+	clock := roundtripper.WithClock(c.clock)
+	c.relays = &relays{RoundTripper: roundtripper.New(headers, maxIdleRelays, clock), region: settings.Region}
+	c.roundTripper = roundtripper.New(headers, settings.MaxDescriptors/idleDescriptorDivisor, append(c.backendOptions, clock)...)
 	c.dispatcher = dispatcher.New(headers, platform, c.clock, c.charger, c.placer, c.roundTripper, c.recorder,
 		dispatcher.WithRetries(retryShare(settings, settings.ExpectedHosts)),
 		dispatcher.WithQuarantine(c.quarantine, c),
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -96,10 +96,16 @@
 type RoundTripper struct {
 	headerNames header.Names
 	pool        *pool
-	clock       *timekeeper.Clock
+	clock       Clock
 	brokenAt    atomic.Int64 // when a reused connection last broke without a response, on the clock; 0 if none did
 }
 
+// Clock returns the time since an arbitrary start, which includes the time for which the
+// machine was suspended.
+type Clock interface {
+	Now() time.Duration
+}
+
 // Option sets one property of a round tripper.
 type Option func(*RoundTripper)
 
@@ -108,6 +114,9 @@
 	return func(t *RoundTripper) { t.pool.dialer = d }
 }
 
+// WithClock replaces the clock of the process.
+func WithClock(c Clock) Option { return func(t *RoundTripper) { t.clock = c } }
+
 // New returns a round tripper that keeps at most maxIdle idle connections in total.
 func New(headerNames header.Names, maxIdle int, options ...Option) *RoundTripper {
 	t := &RoundTripper{headerNames: headerNames, pool: newPool(maxIdle), clock: timekeeper.New()}
--- a/internal/roundtripper/roundtripper_test.go
+++ b/internal/roundtripper/roundtripper_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -176,3 +177,30 @@
 		})
 	}
 }
+
+// steppedClock is a clock that moves only when the test sets it.
+type steppedClock struct{ now atomic.Int64 }
+
+func (c *steppedClock) Now() time.Duration { return time.Duration(c.now.Load()) }
+
+// Guards against an order on a connection that the backend server closed while the host
+// was suspended: the host would not know whether it ran.
+func TestConnectionIsNotReusedAfterASuspension(t *testing.T) {
+	for suspended, want := range map[time.Duration]int64{0: 1, time.Hour: 2} {
+		t.Run(suspended.String(), func(t *testing.T) {
+			is := is.New(t)
+			address, dials := script{texts: []string{ownResponse}}.serve(t)
+			clock := &steppedClock{}
+			clock.now.Store(1)
+			rt := roundtripper.New(headerNames, 10, roundtripper.WithClock(clock))
+			defer rt.Close()
+			target := roundtripper.Target{Address: address, Instance: "i-1"}
+			_, err := rt.RoundTrip(t.Context(), target, newRequest(http.MethodPost, "b"))
+			is.NoErr(err)
+			clock.now.Add(int64(suspended))
+			_, err = rt.RoundTrip(t.Context(), target, newRequest(http.MethodPost, "b"))
+			is.NoErr(err)
+			is.Equal(dials.Load(), want)
+		})
+	}
+}
