dispatcher: begin the wait of a test after the earlier request has ended

Cause, from the log of that run: the crash was reported at 15.0287, before the host had answered the request that caused it (15.0288). The test took that request, still in flight, for the one that it had just started, and began its wait of 300 ms. The second request began at about 15.034, waited 296 ms and passed on 1,704 ms, which is right.

The test now waits until nothing is in flight before it starts the request, and 350 ms instead of 300: the time limit of a request may begin a moment after it counts as in flight. The bound is the same.

--- a/internal/dispatcher/quarantine_test.go
+++ b/internal/dispatcher/quarantine_test.go
@@ -165,12 +165,15 @@
 	s := newTestHost(t, 3, dispatcher.WithQuarantine(q, nil))
 	digest := s.crashWith(is, q, changed, func() { s.send(http.MethodPost, "/slow/", "id", "brooms") })
 	is.Equal(q.Enter(t.Context(), digest), quarantiner.Alone)
+	for s.dispatcher.InFlight() > 0 { // the request that crashed the server
+		time.Sleep(time.Millisecond)
+	}
 	answered := make(chan result)
 	go func() { answered <- s.send(http.MethodPost, "/slow/", "id", "brooms", headerNames.Deadline, "2000") }()
 	for s.dispatcher.InFlight() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(350 * time.Millisecond) // more than is asked, since the limit may begin after the request counts as in flight
 	q.Leave(digest)
 	is.Equal((<-answered).status, http.StatusOK)
 	runs := s.executions() // without those of the server that crashed
