acceptor, controller, roundtripper: bound the connections of each listener

Callers saw: with enough connections open, of whatever kind, the host took all descriptors, and then could neither serve, nor reach the store and backend servers, nor be asked for addresses or readiness. 400 silent connections to any one listener left 414 sockets open where 256 are allowed, 300 clients that come back at once 1,604. And each connection costs memory in whatever phase it is: 800 callers that read nothing of 200 KB, 600 heads and 1,000 uploads that trickle took 65.1, 63.6 and 51.9 MB of 48.

Cause: listeners accepted whatever came; nothing bounded the sum of the connections.

A new package accepts the connections of each listener within a share of the process's sockets and of its memory. At the limit it closes, in favour of a new connection, the one that should have sent its first request by now, or that has been idle the longest, or whose client has taken no byte of a response the longest; if all are in use the new one is closed at once, before anything was read from it, so that a caller may try another host. So a crowd of silent clients displaces itself, and an ordinary caller gets in. Connections to backend servers and to other hosts are bounded as well: at their limit an idle one is closed for a new one.

The limits follow from the settings: 1,014 callers with 4,100 descriptors and 284 MB, 694 with 2,870 and 136 MB.

--- /dev/null
+++ b/internal/acceptor/conn.go
@@ -0,0 +1,171 @@
+package acceptor
+
+import (
+	"container/list"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// maxWrite is the most that is written at a time, so that a slow client of a long response
+// is seen to make progress.
+const maxWrite = 64 << 10
+
+const headTooLong = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+var errHeadTooLong = errors.New("request head is longer than the limit")
+
+// conn is a client's connection. Its Acceptor's lock guards the fields without an own one.
+type conn struct {
+	net.Conn
+	acceptor  *Acceptor
+	place     *list.Element // in a list of the acceptor; nil while a request is served
+	since     time.Time     // when the connection was accepted, or the head under way began
+	serving   int           // handlers that run; 0 or 1, but for HTTP/2
+	answered  bool          // a request was served
+	headBytes int64         // read of the head under way
+
+	writingSince atomic.Int64 // nanoseconds after the acceptor's start since which a write waits; 0 if none does
+
+	mu         sync.Mutex
+	writeLimit time.Time // deadline that the server has set; zero if there is none
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	limits, first, tooLong := c.acceptor.addHead(c, n)
+	if tooLong {
+		_, _ = io.WriteString(c, headTooLong) // fails if the client has left
+		return 0, errHeadTooLong
+	}
+	if first && limits.Timeout > 0 {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(limits.Timeout)) // fails on a closed connection, as the next read does
+	}
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn. Within a head the deadline is not later than the limit
+// on the head's time.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.acceptor.mu.Lock()
+	within, timeout := c.headBytes > 0, c.acceptor.limits.Timeout
+	c.acceptor.mu.Unlock()
+	if latest := time.Now().Add(timeout); within && timeout > 0 && t.After(latest) {
+		t = latest
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeLimit = t
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// Write implements net.Conn. It fails if the client takes no byte for the stall timeout.
+func (c *conn) Write(p []byte) (int, error) {
+	defer c.writingSince.Store(0)
+	written, unsent := 0, -1
+	for {
+		now := time.Now()
+		c.writingSince.Store(max(1, int64(now.Sub(c.acceptor.start))))
+		limited, err := c.extendWriteDeadline(now)
+		if err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(len(p), written+maxWrite)])
+		written += n
+		if err == nil && written == len(p) {
+			return written, nil
+		}
+		if n > 0 {
+			unsent = -1
+		}
+		if err == nil {
+			continue
+		}
+		if limited || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+		before := unsent
+		if unsent = c.unsent(); n == 0 && before >= 0 && unsent >= before {
+			return written, err
+		}
+	}
+}
+
+// extendWriteDeadline sets the deadline of a write, and reports whether it is the one that
+// the server has set.
+func (c *conn) extendWriteDeadline(now time.Time) (bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	timeout := c.acceptor.stallTimeout
+	latest := now.Add(timeout)
+	if timeout == 0 || !c.writeLimit.IsZero() && c.writeLimit.Before(latest) {
+		return true, c.Conn.SetWriteDeadline(c.writeLimit)
+	}
+	return false, c.Conn.SetWriteDeadline(latest)
+}
+
+// unsent returns the bytes that were written and that the client has not acknowledged, or 0
+// if that is not known.
+func (c *conn) unsent() int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	if err := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
+var errNoSocket = errors.New("connection has no socket")
+
+// SyscallConn implements syscall.Conn.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errNoSocket
+	}
+	return socket.SyscallConn()
+}
+
+// CloseWrite closes the sending side, which the server does before it closes the connection
+// after some errors.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.acceptor.mu.Lock()
+	c.acceptor.remove(c)
+	c.acceptor.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/controller/connlimits.go
@@ -0,0 +1,69 @@
+package controller
+
+import (
+	"net"
+
+	"github.com/uber-go/tally/v4"
+
+	"magnoliahill.example/magnoliahill/internal/acceptor"
+	"magnoliahill.example/magnoliahill/internal/loader"
+)
+
+// Shares of the process's sockets. Together they are less than 1: the store, gossip and the
+// listeners need some as well.
+const (
+	callerShare    = 0.26
+	backendShare   = 0.38 // a call has one, and idle ones are closed for others
+	aheadShare     = 0.10 // requests sent ahead, which have connections to backend servers within backendShare
+	controlShare   = 0.12 // other hosts
+	lookupShare    = 0.06
+	relayedShare   = 0.05 // requests that other hosts relay
+	relayShare     = 0.05 // requests relayed to other hosts
+	readinessShare = 0.01
+	metricsShare   = 0.01
+)
+
+const (
+	fileDescriptors = 200       // of the process's descriptors; the others are for sockets
+	minConns        = 4         // of each listener
+	ownMemory       = 24 << 20  // bytes that the process takes without connections
+	connMemory      = 160 << 10 // bytes that a caller's connection may take in every phase: goroutines, buffers, bytes not read
+)
+
+// connLimits are the limits on connections that follow from the descriptors and the memory
+// of the process.
+type connLimits struct {
+	sockets int // 0 means no limit
+	memory  int64
+	backend int // connections to backend servers
+	relays  int // connections to hosts that requests are relayed to
+	ahead   int // requests started ahead
+}
+
+func newConnLimits(d *loader.Deployment) connLimits {
+	l := connLimits{sockets: max(d.MaxDescriptors-fileDescriptors, 0), memory: int64(d.MemoryMB) << 20}
+	l.backend, l.relays, l.ahead = l.conns(backendShare), l.conns(relayShare), l.conns(aheadShare)
+	return l
+}
+
+// conns returns the number of connections that a share of the sockets allows, or 0 without a
+// limit.
+func (l *connLimits) conns(share float64) int {
+	if l.sockets == 0 {
+		return 0
+	}
+	return max(int(share*float64(l.sockets)), minConns)
+}
+
+// accept returns a listener whose connections have a share of the sockets, and that leaves
+// room for them in the process's memory.
+func (l *connLimits) accept(listener net.Listener, share float64, scope tally.Scope) *acceptor.Acceptor {
+	most := l.conns(share)
+	if l.memory > 0 {
+		byMemory := max(int((l.memory-ownMemory)/connMemory), minConns)
+		if most == 0 || most > byMemory {
+			most = byMemory
+		}
+	}
+	return acceptor.New(listener, acceptor.WithMaxConns(most), acceptor.WithScope(scope))
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"magnoliahill.example/magnoliahill/internal/acceptor"
 	"magnoliahill.example/magnoliahill/internal/charger"
 	"magnoliahill.example/magnoliahill/internal/dispatcher"
 	"magnoliahill.example/magnoliahill/internal/follower"
@@ -99,10 +100,12 @@
 	ready          atomic.Bool
 	metricsAddress string                             // host:port of the metrics listener; empty if there is none
 	reload         func() (*loader.Deployment, error) // reads the settings file, returns nil if it is unchanged; nil without a file
+	limits         connLimits
 	servers        []*http.Server
-	requestCtx     context.Context // base context of all requests
-	dataListener   net.Listener    // accepts callers' connections
-	pendingConns   *pendingConns   // callers' connections that may hold a request without a response
+	callers        *acceptor.Acceptor // accepts callers' connections
+	requestCtx     context.Context    // base context of all requests
+	dataListener   net.Listener       // accepts callers' connections
+	pendingConns   *pendingConns      // callers' connections that may hold a request without a response
 	backendOptions []roundtripper.Option
 	cancelRequests func() // cancels requestCtx; running requests get a final response
 	udp            *net.UDPConn
@@ -147,8 +150,12 @@
 	c.reach = reacher.New(chart, string(chart.Initial()))
 	headers := platform.HeaderNames()
 	clock := roundtripper.WithClock(c.clock)
-	c.relays = &relays{RoundTripper: roundtripper.New(headers, maxIdleRelays, clock), region: settings.Region}
-	c.roundTripper = roundtripper.New(headers, settings.MaxDescriptors/idleDescriptorDivisor, append(c.backendOptions, clock)...)
+	c.limits = newConnLimits(settings)
+	c.relays = &relays{
+		RoundTripper: roundtripper.New(headers, maxIdleRelays, clock, roundtripper.WithMaxConns(c.limits.relays)), region: settings.Region,
+	}
+	c.roundTripper = roundtripper.New(headers, settings.MaxDescriptors/idleDescriptorDivisor,
+		append(c.backendOptions, clock, roundtripper.WithMaxConns(c.limits.backend))...)
 	c.dispatcher = dispatcher.New(headers, platform, c.clock, c.charger, c.placer, c.roundTripper, c.recorder,
 		dispatcher.WithRetries(retryShare(settings, settings.ExpectedHosts)),
 		dispatcher.WithQuarantine(c.quarantine, c),
@@ -206,12 +213,15 @@
 		if e.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", e.address)
+		socket, err := net.Listen("tcp", e.address)
 		if err != nil {
 			return errors.Wrapf(err, "listening on %s", e.address)
 		}
+		accepted := c.limits.accept(socket, e.share, c.recorder.Scope())
+		var listener net.Listener = accepted
 		server := &http.Server{
-			Handler:           e.handler,
+			Handler:           accepted.Handler(e.handler),
+			ConnContext:       accepted.ConnContext,
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
@@ -219,7 +229,7 @@
 			BaseContext:       func(net.Listener) context.Context { return c.requestCtx },
 		}
 		if e.address == c.settings.DataAddress {
-			listener = c.acceptCallers(server, listener)
+			listener = c.acceptCallers(server, accepted)
 		}
 		c.servers = append(c.servers, server)
 		go serve(server, listener)
--- a/internal/controller/handlers.go
+++ b/internal/controller/handlers.go
@@ -10,10 +10,11 @@
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1/peerv1connect"
 )
 
-// endpoint is the address of a listener and its handler.
+// endpoint is the address of a listener, its handler and its share of the sockets.
 type endpoint struct {
 	address string
 	handler http.Handler
+	share   float64
 }
 
 // endpoints returns all listener addresses with their handlers. An empty address
@@ -31,12 +32,12 @@
 	metrics := flow.New()
 	metrics.HandleFunc("/metrics", c.serveMetrics, http.MethodGet)
 	return []endpoint{
-		{c.settings.DataAddress, c.dispatcher},
-		{c.settings.ReadinessAddress, ready},
-		{c.settings.LookupAddress, lookup},
-		{c.settings.ControlAddress, control},
-		{c.relayAddress(), http.HandlerFunc(c.dispatcher.ServeRelayed)},
-		{c.metricsAddress, metrics},
+		{c.settings.DataAddress, c.dispatcher, callerShare},
+		{c.settings.ReadinessAddress, ready, readinessShare},
+		{c.settings.LookupAddress, lookup, lookupShare},
+		{c.settings.ControlAddress, control, controlShare},
+		{c.relayAddress(), http.HandlerFunc(c.dispatcher.ServeRelayed), relayedShare},
+		{c.metricsAddress, metrics, metricsShare},
 	}
 }
 
--- a/internal/controller/pipelining.go
+++ b/internal/controller/pipelining.go
@@ -1,9 +1,11 @@
 package controller
 
 import (
+	"context"
 	"net"
 	"net/http"
 
+	"magnoliahill.example/magnoliahill/internal/acceptor"
 	"magnoliahill.example/magnoliahill/internal/pipeliner"
 )
 
@@ -19,15 +21,19 @@
 	if memory <= 0 || memory > maxPipelineMemory {
 		memory = maxPipelineMemory
 	}
+	memory = min(memory, int64(c.limits.ahead)*pipeliner.RunCost)
 	return pipeliner.New(c.dispatcher, c.dispatcher, pipeliner.WithMemory(memory), pipeliner.WithScope(c.recorder.Scope()))
 }
 
 // acceptCallers prepares the server for callers' connections and returns the listener
 // that it has to serve.
-func (c *Controller) acceptCallers(server *http.Server, listener net.Listener) net.Listener {
-	server.Handler = c.pipeliner
-	server.ConnContext = c.pipeliner.ConnContext
+func (c *Controller) acceptCallers(server *http.Server, accepted *acceptor.Acceptor) net.Listener {
+	c.callers = accepted
+	server.Handler = accepted.Handler(c.pipeliner)
+	server.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		return c.pipeliner.ConnContext(accepted.ConnContext(ctx, nc), nc)
+	}
 	server.ConnState = c.pendingConns.track
-	c.dataListener = c.pipeliner.Listener(listener)
+	c.dataListener = c.pipeliner.Listener(accepted)
 	return c.dataListener
 }
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -253,6 +253,9 @@
 	return n, err
 }
 
+// NetConn returns the connection of the wrapped listener.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the sending side, which the server does before it closes the
 // connection after some errors.
 func (c *conn) CloseWrite() error {
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -20,7 +20,6 @@
 	maxAhead       = 8        // requests started ahead on one connection whose responses the server has not reached
 	lookAheadBytes = 16 << 10 // read ahead on one connection; a longer request is not started ahead
 	maxRunBytes    = 64 << 10 // of a response that are held until the server reaches its request
-	runCost        = 32 << 10 // memory that a run takes beside its response: stacks, headers, a backend connection
 	minStep        = 4 << 10  // of the response that the server writes, held also beyond the limit on all connections
 
 	// Share of the memory for all connections that counts for what a waiting handler has to
@@ -31,6 +30,10 @@
 	defaultMemory = 8 << 20 // bytes held for all connections
 )
 
+// RunCost is the memory in bytes that a request started ahead takes beside its response:
+// stacks, headers, a connection to a backend server.
+const RunCost = 32 << 10
+
 // Routes knows which requests may be executed more than once.
 type Routes interface {
 	// Idempotent reports whether requests with this Host header and path may be
--- a/internal/pipeliner/run.go
+++ b/internal/pipeliner/run.go
@@ -92,7 +92,7 @@
 		return
 	}
 	u.released = true
-	u.conn.pipeliner.release(runCost + u.held)
+	u.conn.pipeliner.release(RunCost + u.held)
 	u.held = 0
 }
 
--- a/internal/pipeliner/start.go
+++ b/internal/pipeliner/start.go
@@ -25,7 +25,7 @@
 			c.barred = true
 			return
 		}
-		if !c.pipeliner.reserve(runCost) {
+		if !c.pipeliner.reserve(RunCost) {
 			c.countFallback(c.pipeliner.noMemory.Inc)
 			return
 		}
--- a/internal/roundtripper/conn.go
+++ b/internal/roundtripper/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -26,6 +27,14 @@
 	maxIdle   time.Duration // how long the connection may be idle and still be reused
 	requests  int           // that were sent on the connection
 	refused   []uint64      // hashes of the ids of requests that were refused; at most maxRefused
+	onClose   func()        // called at the first Close
+	closeOnce sync.Once
+}
+
+// Close implements net.Conn.
+func (c *persistConn) Close() error {
+	c.closeOnce.Do(c.onClose)
+	return c.Conn.Close()
 }
 
 // maxRefused is the number of refusals after which a connection is not used again.
@@ -43,9 +52,9 @@
 	return slices.Contains(c.refused, xxhash.Sum64String(id))
 }
 
-func newPersistConn(conn net.Conn, key string) *persistConn {
+func newPersistConn(conn net.Conn, key string, onClose func()) *persistConn {
 	limiter := &readLimiter{conn: conn, left: unlimited}
-	return &persistConn{Conn: conn, key: key, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}
+	return &persistConn{Conn: conn, key: key, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize), onClose: onClose}
 }
 
 // readLimiter bounds the bytes that are read for response heads, which the HTTP
--- a/internal/roundtripper/pool.go
+++ b/internal/roundtripper/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +30,8 @@
 	idle      map[string][]*persistConn
 	idleCount int               // idle connections to all backend servers
 	maxIdle   int               // limit of idleCount
+	open      int               // connections that were dialed and not closed; not more than maxOpen but for those being dialed
+	maxOpen   int               // 0 means no limit
 	dialCount [dialCauses]int64 // connections dialed, including failed ones
 }
 
@@ -122,16 +125,63 @@
 
 // dial opens a connection, which is not part of the pool until put is called.
 func (p *pool) dial(ctx context.Context, address, key string, cause dialCause) (*persistConn, error) {
-	p.mu.Lock()
-	p.dialCount[cause]++
-	p.mu.Unlock()
+	if err := p.reserve(cause); err != nil {
+		return nil, errors.Wrapf(err, "connecting to %s", address)
+	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		p.closed()
 		return nil, errors.Wrapf(err, "connecting to %s", address)
 	}
-	return newPersistConn(conn, key), nil
+	return newPersistConn(conn, key, p.closed), nil
+}
+
+// errTooManyConns is returned at the limit on connections if none of them is idle.
+var errTooManyConns = errors.New("too many open connections")
+
+// reserve counts a connection that is about to be dialed. At the limit it closes one that
+// is idle.
+func (p *pool) reserve(cause dialCause) error {
+	p.mu.Lock()
+	var oldest *persistConn
+	if p.maxOpen > 0 && p.open >= p.maxOpen {
+		if oldest = p.removeOldest(); oldest == nil {
+			p.mu.Unlock()
+			return errTooManyConns
+		}
+	}
+	p.dialCount[cause]++
+	p.open++
+	p.mu.Unlock()
+	if oldest != nil {
+		_ = oldest.Close()
+	}
+	return nil
+}
+
+// removeOldest removes the connection that was idle the longest from the pool, and returns
+// nil if none is idle. The caller holds the lock.
+func (p *pool) removeOldest() *persistConn {
+	var oldest *persistConn
+	for _, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].idleSince < oldest.idleSince) {
+			oldest = list[0]
+		}
+	}
+	if oldest != nil {
+		p.idle[oldest.key] = slices.Delete(p.idle[oldest.key], 0, 1)
+		p.idleCount--
+	}
+	return oldest
+}
+
+// closed counts that a connection is open no more.
+func (p *pool) closed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
 }
 
 // put adds a connection whose last response was read completely. It closes the
--- a/internal/roundtripper/pool_test.go
+++ b/internal/roundtripper/pool_test.go
@@ -16,7 +16,7 @@
 	p := newPool(2)
 	put := func(key string) net.Conn {
 		local, remote := net.Pipe()
-		p.put(newPersistConn(local, key), 0)
+		p.put(newPersistConn(local, key, func() {}), 0)
 		return remote
 	}
 	closed := func(remote net.Conn) bool {
@@ -45,7 +45,7 @@
 	p := newPool(10)
 	local, remote := net.Pipe()
 	defer func() { _ = remote.Close() }()
-	c := newPersistConn(local, "a")
+	c := newPersistConn(local, "a", func() {})
 	c.maxIdle = 8 * time.Second
 	p.put(c, 0)
 	got, cause := p.get("a", 5*time.Second, 0.5, time.Minute)
