dispatcher, acceptor: end calls whose caller does not read the response

Callers that stop reading kept a call for as long as they liked, with its goroutines, two descriptors and its part of the memory; a planned stop waited for them until the end of the grace period.

Cause: the time limit of a route ends the reading from the backend server, but nothing ended the write to the caller, and the server sets no deadline for writes: one for the whole response would cut off slow callers.

When the time limit of a call has passed, the rest of its response can't be read any more, so that the write ends as well; the connection is aborted as for any response that breaks off. A response that has been read whole may be written for as long as the caller takes some of it: a write fails if the caller takes no byte for 20 s. Progress is what was written or, if a write doesn't return, what the caller's side has acknowledged. A request that was started ahead ends as its own.

--- a/internal/controller/connlimits.go
+++ b/internal/controller/connlimits.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -30,6 +31,9 @@
 	connMemory      = 160 << 10 // bytes that a caller's connection may take in every phase: goroutines, buffers, bytes not read
 )
 
+// clientStallTimeout is how long a client may take no byte of a response.
+const clientStallTimeout = 20 * time.Second
+
 // connLimits are the limits on connections that follow from the descriptors and the memory
 // of the process.
 type connLimits struct {
@@ -65,5 +69,5 @@
 			most = byMemory
 		}
 	}
-	return acceptor.New(listener, acceptor.WithMaxConns(most), acceptor.WithScope(scope))
+	return acceptor.New(listener, acceptor.WithMaxConns(most), acceptor.WithStallTimeout(clientStallTimeout), acceptor.WithScope(scope))
 }
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -114,7 +114,7 @@
 			c.refund(refusal)
 			return refusal
 		}
-		c.writeResponse(resp)
+		c.writeResponse(ctx, resp)
 		return nil
 	}
 }
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -60,7 +61,7 @@
 }
 
 // writeResponse forwards the backend server's response to the caller.
-func (c *call) writeResponse(resp *roundtripper.Response) {
+func (c *call) writeResponse(ctx context.Context, resp *roundtripper.Response) {
 	names := &c.dispatcher.headerNames
 	headers := c.w.Header()
 	connection := headers.Get("Connection")
@@ -80,7 +81,7 @@
 	c.setContentLength(resp)
 	c.expectUnread()
 	c.w.WriteHeader(resp.Status)
-	c.writeBody(resp)
+	c.writeBody(ctx, resp)
 	c.discardUnread()
 	took := c.dispatcher.clock.Now() - c.startedAt
 	if c.relayedBy == "" {
@@ -104,13 +105,13 @@
 
 // writeBody sends the response body. It aborts the caller's connection if the
 // body is truncated, so that the caller notices.
-func (c *call) writeBody(resp *roundtripper.Response) {
+func (c *call) writeBody(ctx context.Context, resp *roundtripper.Response) {
 	_, err := c.w.Write(resp.Body)
 	if resp.Rest == nil {
 		return // a write error means that the caller closed the connection
 	}
 	if err == nil {
-		_, err = io.Copy(c.w, resp.Rest)
+		err = c.copyRest(ctx, resp.Rest)
 	}
 	if closeErr := resp.Rest.Close(); err == nil {
 		err = closeErr
@@ -121,6 +122,23 @@
 	}
 }
 
+// copyBufferBytes is small, since every call may copy at the same time.
+const copyBufferBytes = 4 << 10
+
+// copyRest sends the rest of a response. When the time limit of the call has passed no more
+// is read of it, so that a write for which the caller makes no room ends as well.
+func (c *call) copyRest(ctx context.Context, rest io.Reader) error {
+	stop := context.AfterFunc(ctx, func() {
+		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now()) // fails if the caller has left
+	})
+	// Without the methods of the writer its own, larger buffers are not used.
+	_, err := io.CopyBuffer(struct{ io.Writer }{c.w}, struct{ io.Reader }{rest}, make([]byte, copyBufferBytes))
+	if !stop() && err == nil {
+		err = ctx.Err() // the end of the response may not have been written yet
+	}
+	return err
+}
+
 // refuse responds to the caller with a refusal.
 func (c *call) refuse(refusal *admitter.Refusal) {
 	headers := c.w.Header()
--- a/internal/pipeliner/run.go
+++ b/internal/pipeliner/run.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -137,6 +138,15 @@
 	return written, nil
 }
 
+// SetWriteDeadline is for http.ResponseController. The connection's deadline would hold for
+// earlier responses as well, so the run ends when its own has passed.
+func (u *run) SetWriteDeadline(t time.Time) error {
+	if !t.After(time.Now()) {
+		u.abort()
+	}
+	return nil
+}
+
 // reserve reserves memory for up to n bytes of the body and returns for how many.
 func (u *run) reserve(n int) int {
 	n = min(n, maxRunBytes-u.held)
