roundtripper: bound what the system holds of responses that are not read

A process ended for want of memory: bytes that were received and not read count toward its limit. 200 callers that read nothing of 16 MB left 62 MB of such bytes, 98.0 MB in all with 64 allowed; 120 callers with nine such requests ahead 80.9 MB.

Cause: while the host doesn't read on because its caller doesn't, the system goes on receiving from the backend server, and lets the receive buffer of such a connection grow to megabytes. What the host itself holds of bodies has had a budget; this had none, on connections to backend servers and to hosts that requests are relayed to.

Each of these connections has a fixed receive buffer of 16 KB (the system holds up to 1.5 times as much). A small window makes a long response slow over a distance: 24 KB for each 40 ms between regions. So the buffer of a response of over 16 KB grows to 64 KB if the budget for responses has room for what it may hold, and shrinks before the connection is used again.

--- a/internal/dispatcher/bodies.go
+++ b/internal/dispatcher/bodies.go
@@ -55,10 +55,19 @@
 // reserveResponse reserves bytes for the body of a response until the call ends. Without
 // memory the response is forwarded while it arrives.
 func (c *call) reserveResponse(bytes int64) bool {
-	if !c.dispatcher.bodies.reserveResponse(bytes) {
+	if !c.reserveBuffer(bytes) {
 		c.dispatcher.scope.Counter("responses_beyond_memory").Inc(1)
 		return false
 	}
+	return true
+}
+
+// reserveBuffer reserves bytes for a response until the call ends, for what only makes it
+// faster.
+func (c *call) reserveBuffer(bytes int64) bool {
+	if !c.dispatcher.bodies.reserveResponse(bytes) {
+		return false
+	}
 	c.responseBytes += bytes
 	return true
 }
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -247,7 +247,8 @@
 	headers.Del("Expect")
 	return &roundtripper.Request{
 		Method: c.r.Method, RequestURI: c.r.RequestURI, Host: c.r.Host, ID: c.id, Header: headers,
-		Body: c.body, Length: c.r.ContentLength, Idempotent: c.route.Idempotent(), Reserve: c.reserveResponse,
+		Body: c.body, Length: c.r.ContentLength, Idempotent: c.route.Idempotent(),
+		Reserve: c.reserveResponse, ReserveBuffer: c.reserveBuffer,
 	}
 }
 
--- a/internal/roundtripper/conn.go
+++ b/internal/roundtripper/conn.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 const readBufferSize = 4 << 10 // bytes
@@ -27,10 +28,54 @@
 	maxIdle   time.Duration // how long the connection may be idle and still be reused
 	requests  int           // that were sent on the connection
 	refused   []uint64      // hashes of the ids of requests that were refused; at most maxRefused
+	grown     bool          // the receive buffer is larger than receiveBuffer
 	onClose   func()        // called at the first Close
 	closeOnce sync.Once
 }
 
+const (
+	// receiveBuffer is the size in bytes of a connection's receive buffer. The system may
+	// hold up to 1.5 times as much of a response that is not read.
+	receiveBuffer = 16 << 10
+	// longReceiveBuffer is the same for a long response, so that it is not slowed down
+	// by the distance of its server. It takes a reservation of longReceiveCost bytes.
+	longReceiveBuffer = 64 << 10
+	longReceiveCost   = 2 * longReceiveBuffer
+)
+
+// growBuffer makes the receive buffer larger.
+func (c *persistConn) growBuffer() {
+	if c.setBuffer(longReceiveBuffer) {
+		c.grown = true
+	}
+}
+
+// resetBuffer returns the receive buffer to its usual size.
+func (c *persistConn) resetBuffer() {
+	if c.grown && c.setBuffer(receiveBuffer) {
+		c.grown = false
+	}
+}
+
+// setBuffer sets the size of the receive buffer and reports whether it is in effect.
+func (c *persistConn) setBuffer(size int) bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var optErr error
+	err = raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+		// The window of a connection with a fixed buffer has a limit of its own.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, 2*size)
+	})
+	return err == nil && optErr == nil
+}
+
 // Close implements net.Conn.
 func (c *persistConn) Close() error {
 	c.closeOnce.Do(c.onClose)
--- a/internal/roundtripper/pool.go
+++ b/internal/roundtripper/pool.go
@@ -60,7 +60,7 @@
 	return &pool{
 		maxIdle: maxIdle,
 		dialer: &net.Dialer{
-			Control: setUserTimeout,
+			Control: setSocketOptions,
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 			},
@@ -69,17 +69,21 @@
 	}
 }
 
-// setUserTimeout makes the kernel close connections whose sent bytes are not
-// acknowledged in time.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optErr error
+// setSocketOptions makes the kernel close connections whose sent bytes are not
+// acknowledged in time, and bounds what it holds of responses that are not read.
+func setSocketOptions(_, _ string, raw syscall.RawConn) error {
+	var timeoutErr, bufferErr error
 	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+		timeoutErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+		bufferErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
 	})
-	if err != nil {
-		return errors.Wrap(err, "setting TCP_USER_TIMEOUT")
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "setting socket options")
+	case timeoutErr != nil:
+		return errors.Wrap(timeoutErr, "setting TCP_USER_TIMEOUT")
 	}
-	return errors.Wrap(optErr, "setting TCP_USER_TIMEOUT")
+	return errors.Wrap(bufferErr, "setting SO_RCVBUF")
 }
 
 // get returns a usable connection that was idle for at most the given share of
--- a/internal/roundtripper/response.go
+++ b/internal/roundtripper/response.go
@@ -53,6 +53,7 @@
 		_ = x.conn.Close()
 		return
 	}
+	x.conn.resetBuffer()
 	x.conn.maxIdle = maxIdleTime(resp.Header)
 	x.roundTripper.pool.put(x.conn, x.roundTripper.clock.Now())
 }
@@ -118,6 +119,7 @@
 	if refused {
 		size = minBuffer
 	}
+	x.growBuffer(size)
 	body = make([]byte, 0, size)
 	for {
 		n, err := resp.Body.Read(body[len(body):cap(body)])
@@ -135,10 +137,19 @@
 		if refused || len(body) > maxBufferedBody || !x.req.reserve(size) {
 			return body, false, nil
 		}
+		x.growBuffer(size)
 		body = append(make([]byte, 0, size), body...)
 	}
 }
 
+// growBuffer makes the connection's receive buffer larger for a body of at least about a
+// size, if there is memory.
+func (x *exchange) growBuffer(size int) {
+	if size > receiveBuffer && !x.conn.grown && (x.req.ReserveBuffer == nil || x.req.ReserveBuffer(longReceiveCost)) {
+		x.conn.growBuffer()
+	}
+}
+
 // restReader reads the remainder of a long response body while it is forwarded.
 type restReader struct {
 	exchange *exchange
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -79,6 +79,8 @@
 	// Reserve reserves memory for the body of the response, which the sender of the request
 	// releases with it, and reports whether there is any. If it is nil there always is.
 	Reserve func(bytes int64) bool
+	// ReserveBuffer is the same for a larger receive buffer of the connection.
+	ReserveBuffer func(bytes int64) bool
 }
 
 func (r *Request) reserve(bytes int) bool { return r.Reserve == nil || r.Reserve(int64(bytes)) }
