acceptor: bound what the system holds of bytes that callers send ahead

250 callers that sent a megabyte behind a request whose response they don't read left 71.9 MB received and not read, 112.9 MB in all with 48 allowed. Between two requests, and while a response is written, the server reads nothing from the connection, or as much as is looked ahead, and the system goes on receiving into a buffer that it lets grow: the same cause as for responses, on the callers' side.

All accepted connections have a fixed receive buffer of 16 KB, of which the system holds up to 1.5 times as much. A long upload would wait for such a window, so the buffer is 64 KB while a body of more than 16 KB is read, on as many connections at a time as a 32nd of the memory allows for.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -46,6 +46,8 @@
 	maxConns     int           // 0 means no limit
 	maxHeadBytes int64         // of all request heads that are being read; 0 means no limit
 	readBuffer   int           // bytes of each connection's receive buffer; 0 leaves it to the system
+	bodyBuffer   int           // the same while a long request body is read
+	maxGrown     int           // connections that may have a buffer of bodyBuffer
 	stallTimeout time.Duration // how long a client may take no byte of a response; 0 means no limit
 	scope        tally.Scope
 	start        time.Time
@@ -55,6 +57,7 @@
 	waiting   *list.List // of *conn: those that have not sent a whole request, by when they were accepted or began to
 	idle      *list.List // of *conn: those that wait for the next request, by when they began to
 	headBytes int64      // sum of the connections' headBytes
+	grown     int        // connections that have a buffer of bodyBuffer; not more than maxGrown
 	limits    HeadLimits
 	searched  time.Time      // last search for stalled clients
 	logged    time.Time      // last log line
@@ -80,6 +83,12 @@
 // not let it grow then.
 func WithReadBuffer(bytes int) Option { return func(a *Acceptor) { a.readBuffer = bytes } }
 
+// WithBodyBuffer sets the size of the receive buffer in bytes while a request body longer than
+// the usual buffer is read, for at most n connections at a time.
+func WithBodyBuffer(bytes, n int) Option {
+	return func(a *Acceptor) { a.bodyBuffer, a.maxGrown = bytes, n }
+}
+
 // WithStallTimeout sets how long a client may take no byte of a response. A slow client that
 // takes some is not affected.
 func WithStallTimeout(d time.Duration) Option { return func(a *Acceptor) { a.stallTimeout = d } }
@@ -113,10 +122,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if tcp, ok := nc.(interface{ SetReadBuffer(int) error }); ok && a.readBuffer > 0 {
-			_ = tcp.SetReadBuffer(a.readBuffer) // fails if the client has left, as the first read does
-		}
 		c := &conn{Conn: nc, acceptor: a}
+		c.setReadBuffer(a.readBuffer)
 		if a.add(c) {
 			return c, nil
 		}
@@ -200,6 +207,7 @@
 	a.unlist(c)
 	a.headBytes -= c.headBytes
 	c.headBytes = 0
+	a.shrink(c)
 }
 
 // unlist takes a connection off its list. The caller holds the lock.
@@ -259,7 +267,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if c.serving--; c.serving == 0 && a.open[c] {
-		c.answered = true
+		c.answered, c.bodyBytes = true, 0
+		if a.shrink(c) {
+			c.setReadBuffer(a.readBuffer)
+		}
 		c.place = a.idle.PushBack(c)
 	}
 }
@@ -270,6 +281,7 @@
 func (a *Acceptor) addHead(c *conn, n int) (limits HeadLimits, first, tooLong bool) {
 	a.mu.Lock()
 	if c.serving > 0 || !a.open[c] {
+		a.addBody(c, n)
 		a.mu.Unlock()
 		return HeadLimits{}, false, false
 	}
@@ -291,6 +303,28 @@
 	return limits, first, tooLong
 }
 
+// addBody adds bytes that were read while a request was served, and makes the buffer of a
+// connection with a long body larger. The caller holds the lock.
+func (a *Acceptor) addBody(c *conn, n int) {
+	c.bodyBytes += int64(n)
+	if c.bodyBytes > int64(a.readBuffer) && !c.grown && a.grown < a.maxGrown && a.open[c] {
+		c.grown = true
+		a.grown++
+		c.setReadBuffer(a.bodyBuffer)
+	}
+}
+
+// shrink reports whether a connection had a larger buffer, which counts no more. The caller
+// holds the lock.
+func (a *Acceptor) shrink(c *conn) bool {
+	if !c.grown {
+		return false
+	}
+	c.grown = false
+	a.grown--
+	return true
+}
+
 // headSlack is what a head may have beyond the limit: a server reads ahead.
 const headSlack = 4 << 10
 
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -31,6 +31,8 @@
 	serving   int           // handlers that run; 0 or 1, but for HTTP/2
 	answered  bool          // a request was served
 	headBytes int64         // read of the head under way
+	bodyBytes int64         // read while the request is served
+	grown     bool          // the receive buffer is that for long bodies
 
 	writingSince atomic.Int64 // nanoseconds after the acceptor's start since which a write waits; 0 if none does
 
@@ -128,6 +130,13 @@
 	return false, c.Conn.SetWriteDeadline(latest)
 }
 
+// setReadBuffer sets the size of the receive buffer in bytes; 0 leaves it as it is.
+func (c *conn) setReadBuffer(bytes int) {
+	if tcp, ok := c.Conn.(interface{ SetReadBuffer(int) error }); ok && bytes > 0 {
+		_ = tcp.SetReadBuffer(bytes) // fails if the client has left, as the next read does
+	}
+}
+
 // unsent returns the bytes that were written and that the client has not acknowledged, or 0
 // if that is not known.
 func (c *conn) unsent() int {
--- a/internal/controller/connlimits.go
+++ b/internal/controller/connlimits.go
@@ -34,6 +34,15 @@
 // clientStallTimeout is how long a client may take no byte of a response.
 const clientStallTimeout = 20 * time.Second
 
+// callerBuffer is the size in bytes of a connection's receive buffer. The system may hold up
+// to 1.5 times as much that was sent ahead.
+const callerBuffer = 16 << 10
+
+const (
+	uploadBuffer        = 64 << 10 // the same for a long request body, which is not to wait for its window
+	uploadMemoryDivisor = 32       // share of the process's memory for such buffers
+)
+
 // connLimits are the limits on connections that follow from the descriptors and the memory
 // of the process.
 type connLimits struct {
@@ -69,5 +78,6 @@
 			most = byMemory
 		}
 	}
-	return acceptor.New(listener, acceptor.WithMaxConns(most), acceptor.WithStallTimeout(clientStallTimeout), acceptor.WithScope(scope))
+	return acceptor.New(listener, acceptor.WithMaxConns(most), acceptor.WithStallTimeout(clientStallTimeout),
+		acceptor.WithReadBuffer(callerBuffer), acceptor.WithBodyBuffer(uploadBuffer, int(l.memory/uploadMemoryDivisor/(2*uploadBuffer))), acceptor.WithScope(scope))
 }
