controller, acceptor: apply the limits on heads of the configuration in force

The configuration bounds the heads of requests (16 KB, 3 s on the deployments); the listener for callers accepted 64 KB and 10 s whatever it said, and nothing bounded the sum of all heads that are being read. The server keeps a head in pieces that take more than it has: 600 heads of 60 KB took 40 MB.

The acceptor counts the bytes of heads. One that is longer than the configuration allows is answered with 431, and one that takes longer (and a second more, for lost packets and a busy host) ends; before there is a configuration the server's own limits hold. If all heads of a listener together take more than a 16th of the memory, the connection is closed whose head has been under way the longest, which never is one that sends its head at once. 431 says nothing about retries of the same request, and is sent before anything of the request was passed on.

TestHeadsBeyondTheConfiguredLimitAreRejected failed before (200 for a head of 30 KB). TestHeadsThatDoNotEndStayWithinTheMemory: 30.5 MB with the limits on connections alone, 24.8 MB now.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -126,7 +126,9 @@
 		h := startHost(t)
 		h.acceptor.SetHeadLimits(acceptor.HeadLimits{Bytes: 16 << 10})
 		is.Equal(h.connect("GET / HTTP/1.1\r\nHost: shop\r\nX-Long: "+strings.Repeat("x", 15<<10)+"\r\n\r\n").status(), http.StatusOK)
-		is.Equal(h.connect("GET / HTTP/1.1\r\nHost: shop\r\nX-Long: "+strings.Repeat("x", 30<<10)).status(), http.StatusRequestHeaderFieldsTooLarge)
+		rejected := h.connect("GET / HTTP/1.1\r\nHost: shop\r\nX-Long: " + strings.Repeat("x", 30<<10))
+		is.Equal(rejected.status(), http.StatusRequestHeaderFieldsTooLarge)
+		is.Equal(rejected.status(), 0) // there is one response
 	})
 }
 
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -20,7 +20,14 @@
 
 const headTooLong = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-var errHeadTooLong = errors.New("request head is longer than the limit")
+// After a head that is too long so much is read on, for so long at most.
+const (
+	rejectBytes   = 256 << 10
+	rejectTimeout = 500 * time.Millisecond
+)
+
+// errHeadTooLong is of a kind to which the server adds no response of its own.
+var errHeadTooLong = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("request head is longer than the limit")}
 
 // conn is a client's connection. Its Acceptor's lock guards the fields without an own one.
 type conn struct {
@@ -36,19 +43,24 @@
 
 	writingSince atomic.Int64 // nanoseconds after the acceptor's start since which a write waits; 0 if none does
 
+	rejected atomic.Bool // the client was told that the head is too long; nothing else is read or written
+
 	mu         sync.Mutex
 	writeLimit time.Time // deadline that the server has set; zero if there is none
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.rejected.Load() {
+		return 0, errHeadTooLong
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
 	}
 	limits, first, tooLong := c.acceptor.addHead(c, n)
 	if tooLong {
-		_, _ = io.WriteString(c, headTooLong) // fails if the client has left
+		c.reject()
 		return 0, errHeadTooLong
 	}
 	if first && limits.Timeout > 0 {
@@ -57,6 +69,17 @@
 	return n, err
 }
 
+// reject responds to a request whose head is too long, and reads on for a moment: closing a
+// connection with unread bytes resets it, which may destroy the response.
+func (c *conn) reject() {
+	c.rejected.Store(true)
+	// All of these fail if the client has left, and then have no effect.
+	_ = c.Conn.SetDeadline(time.Now().Add(rejectTimeout))
+	_, _ = io.WriteString(c.Conn, headTooLong)
+	_ = c.CloseWrite()
+	_, _ = io.CopyN(io.Discard, c.Conn, rejectBytes)
+}
+
 // SetReadDeadline implements net.Conn. Within a head the deadline is not later than the limit
 // on the head's time.
 func (c *conn) SetReadDeadline(t time.Time) error {
@@ -87,6 +110,9 @@
 
 // Write implements net.Conn. It fails if the client takes no byte for the stall timeout.
 func (c *conn) Write(p []byte) (int, error) {
+	if c.rejected.Load() {
+		return 0, errHeadTooLong
+	}
 	defer c.writingSince.Store(0)
 	written, unsent := 0, -1
 	for {
--- a/internal/controller/connlimits.go
+++ b/internal/controller/connlimits.go
@@ -8,6 +8,7 @@
 
 	"magnoliahill.example/magnoliahill/internal/acceptor"
 	"magnoliahill.example/magnoliahill/internal/loader"
+	"magnoliahill.example/magnoliahill/pkg/cataloger"
 )
 
 // Shares of the process's sockets. Together they are less than 1: the store, gossip and the
@@ -28,19 +29,17 @@
 	fileDescriptors = 200       // of the process's descriptors; the others are for sockets
 	minConns        = 4         // of each listener
 	ownMemory       = 24 << 20  // bytes that the process takes without connections
-	connMemory      = 160 << 10 // bytes that a caller's connection may take in every phase: goroutines, buffers, bytes not read
-)
-
-// clientStallTimeout is how long a client may take no byte of a response.
-const clientStallTimeout = 20 * time.Second
+	connMemory      = 160 << 10 // bytes that a caller's connection may take in all phases: goroutines, buffers, bytes not read
 
-// callerBuffer is the size in bytes of a connection's receive buffer. The system may hold up
-// to 1.5 times as much that was sent ahead.
-const callerBuffer = 16 << 10
+	headMemoryDivisor   = 16 // share of the process's memory for the heads that a listener reads
+	uploadMemoryDivisor = 32 // the same for receive buffers of uploadBuffer bytes
+)
 
 const (
-	uploadBuffer        = 64 << 10 // the same for a long request body, which is not to wait for its window
-	uploadMemoryDivisor = 32       // share of the process's memory for such buffers
+	callerBuffer       = 16 << 10         // bytes of a connection's receive buffer; the system may hold up to 1.5 times as much
+	uploadBuffer       = 64 << 10         // the same for a long request body, which is not to wait for its window
+	clientStallTimeout = 20 * time.Second // how long a client may take no byte of a response
+	headTimeoutMargin  = time.Second      // beyond a configuration's limit: packets may be lost, and the host busy
 )
 
 // connLimits are the limits on connections that follow from the descriptors and the memory
@@ -78,6 +77,22 @@
 			most = byMemory
 		}
 	}
-	return acceptor.New(listener, acceptor.WithMaxConns(most), acceptor.WithStallTimeout(clientStallTimeout),
-		acceptor.WithReadBuffer(callerBuffer), acceptor.WithBodyBuffer(uploadBuffer, int(l.memory/uploadMemoryDivisor/(2*uploadBuffer))), acceptor.WithScope(scope))
+	a := acceptor.New(listener, acceptor.WithMaxConns(most), acceptor.WithMaxHeadBytes(l.memory/headMemoryDivisor),
+		acceptor.WithReadBuffer(callerBuffer), acceptor.WithBodyBuffer(uploadBuffer, int(l.memory/uploadMemoryDivisor/(2*uploadBuffer))),
+		acceptor.WithStallTimeout(clientStallTimeout), acceptor.WithScope(scope))
+	a.SetHeadLimits(headLimits(cataloger.CallerLimits{}))
+	return a
+}
+
+// headLimits returns the limits on the heads of requests under a configuration. Without one,
+// and without limits in it, the server's own limits hold.
+func headLimits(limits cataloger.CallerLimits) acceptor.HeadLimits {
+	heads := acceptor.HeadLimits{Bytes: maxHeaderBytes, Timeout: readHeaderTimeout}
+	if bytes := limits.HeaderBytes(); bytes > 0 {
+		heads.Bytes = min(bytes, heads.Bytes)
+	}
+	if timeout := limits.HeaderTimeout(); timeout > 0 {
+		heads.Timeout = min(timeout+headTimeoutMargin, heads.Timeout)
+	}
+	return heads
 }
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -328,6 +328,9 @@
 	}
 	l.controller.dispatcher.SetSnapshot(dispatcher.NewSnapshot(l.config.catalog, l.phase, l.config.appliedAt, l.stopTimes))
 	l.controller.ready.Store(l.phase == dispatcher.Serving)
+	if l.config.catalog != nil {
+		l.controller.callers.SetHeadLimits(headLimits(l.config.catalog.CallerLimits()))
+	}
 }
 
 // tick does the periodic work that is due.
--- a/internal/controller/pipelining.go
+++ b/internal/controller/pipelining.go
@@ -21,7 +21,9 @@
 	if memory <= 0 || memory > maxPipelineMemory {
 		memory = maxPipelineMemory
 	}
-	memory = min(memory, int64(c.limits.ahead)*pipeliner.RunCost)
+	if c.limits.ahead > 0 {
+		memory = min(memory, int64(c.limits.ahead)*pipeliner.RunCost)
+	}
 	return pipeliner.New(c.dispatcher, c.dispatcher, pipeliner.WithMemory(memory), pipeliner.WithScope(c.recorder.Scope()))
 }
 
