roundtripper, forwarder, verifier: a connection that was reset proves no end

Our users saw: a backend server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got that part as a complete response (MIXED).

Cause: the system reports a reset once, to whichever call comes first. If that is the write of the upload, the next read returns end of file, which is the end of such a response.

At end of file the state of the socket now decides: after an orderly end it still is half open, after a reset it is closed, whoever was told. Where the system does not tell, such a response is whole only once its request's body was sent without an error; that is waited for until the time limit. A response that is not whole has an unknown outcome as before, and is not sent again unless that is harmless.

The same class: all reads of responses have it, so the transports of the forwarder (serve, pkg/caller), of the clients of both stores and of calls to other hosts are mended as well, and relayed responses by the round tripper.

Tests: TestResponseWithoutALengthThatIsResetDuringAnUploadIsNotWhole, in roundtripper and forwarder, failed before; ...ThatEndsDuringAnUploadIsWhole passes before and after.

--- a/internal/commander/join.go
+++ b/internal/commander/join.go
@@ -18,6 +18,7 @@
 	"magnoliahill.example/magnoliahill/internal/controller"
 	"magnoliahill.example/magnoliahill/internal/loader"
 	"magnoliahill.example/magnoliahill/internal/logger"
+	"magnoliahill.example/magnoliahill/internal/verifier"
 	"magnoliahill.example/magnoliahill/platform"
 )
 
@@ -70,14 +71,16 @@
 
 // storeTransport returns a transport that reuses connections to the store and
 // detects broken ones by keep-alive probes.
-func storeTransport() *http.Transport {
+func storeTransport() http.RoundTripper {
 	dialer := &net.Dialer{
 		Timeout: storeDialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: storeKeepAlive, Interval: storeKeepAlive, Count: 2,
 		},
 	}
-	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, DisableCompression: true}
+	return &http.Transport{
+		DialContext: verifier.Dial(dialer.DialContext), MaxIdleConnsPerHost: 8, DisableCompression: true,
+	}
 }
 
 // reloadSignals returns a channel that receives a value for each SIGHUP until the
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"magnoliahill.example/magnoliahill/internal/verifier"
 )
 
 var errSealed = errors.New("connection is sealed after a failed request")
@@ -31,6 +33,12 @@
 	return c.Conn.Write(p)
 }
 
+// Read implements io.Reader.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	return n, verifier.ReadError(c.Conn, err)
+}
+
 // mark returns the number of bytes written so far, for a later call of seal.
 func (c *conn) mark() int64 {
 	c.mu.Lock()
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -13,6 +13,7 @@
 
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1"
 	"magnoliahill.example/magnoliahill/internal/messenger/peerv1/peerv1connect"
+	"magnoliahill.example/magnoliahill/internal/verifier"
 	"magnoliahill.example/magnoliahill/pkg/allocator"
 )
 
@@ -55,7 +56,7 @@
 	m.httpClient = &http.Client{Transport: &partitionTransport{
 		partitioned: m.partitioned,
 		next: &http.Transport{
-			DialContext: d.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 4,
+			DialContext: verifier.Dial(d.DialContext), IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 4,
 		},
 	}}
 	return m
@@ -64,7 +65,7 @@
 // partitionTransport fails calls to partitioned addresses.
 type partitionTransport struct {
 	partitioned func(address string) bool
-	next        *http.Transport
+	next        http.RoundTripper
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -76,7 +77,11 @@
 }
 
 // CloseIdleConnections lets http.Client close the idle connections.
-func (t *partitionTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
+func (t *partitionTransport) CloseIdleConnections() {
+	if closer, ok := t.next.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
 
 // Close closes idle connections.
 func (m *Messenger) Close() { m.httpClient.CloseIdleConnections() }
--- a/internal/roundtripper/conn.go
+++ b/internal/roundtripper/conn.go
@@ -11,6 +11,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"magnoliahill.example/magnoliahill/internal/verifier"
 )
 
 const readBufferSize = 4 << 10 // bytes
@@ -125,7 +127,7 @@
 	if l.left != unlimited {
 		l.left -= n
 	}
-	return n, err
+	return n, verifier.ReadError(l.conn, err)
 }
 
 // usable reports whether the connection is open and has no unread bytes. Bytes
--- a/internal/roundtripper/response.go
+++ b/internal/roundtripper/response.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"magnoliahill.example/magnoliahill/internal/forwarder"
+	"magnoliahill.example/magnoliahill/internal/verifier"
 )
 
 // ShedError is a forwarder.ErrShed with the status and headers of the backend server's
@@ -72,8 +73,28 @@
 			return false // the backend server responded before the whole body was sent
 		}
 	}
-	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	return x.stopCancel() && !resp.Close && !unframed && x.conn.reader.Buffered() == 0 && len(x.conn.refused) < maxRefused
+	return x.stopCancel() && !resp.Close && !endsWithConnection(resp) && x.conn.reader.Buffered() == 0 && len(x.conn.refused) < maxRefused
+}
+
+// endsWithConnection reports whether the body of a response ends with its connection.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// checkEnd checks at the end of a body that it is whole. The end
+// of a connection proves that unless the connection was reset, of which the sender of a long
+// request body may be told instead of the reader. Where the system does not tell how the
+// connection ended, the response is whole only if that body was sent without an error.
+func (x *exchange) checkEnd(resp *http.Response) error {
+	if !endsWithConnection(resp) || x.sendResult == nil || verifier.EndOf(x.conn.Conn) == verifier.EndOrderly {
+		return nil
+	}
+	select {
+	case err := <-x.sendResult:
+		return errors.Wrap(err, "sending the request body")
+	case <-x.ctx.Done():
+		return x.ctx.Err()
+	}
 }
 
 // maxIdleTime returns how long a connection may stay idle: a share of the timeout
@@ -124,9 +145,10 @@
 	for {
 		n, err := resp.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, true, x.checkEnd(resp)
+		}
 		switch {
-		case err == io.EOF:
-			return body, true, nil
 		case err != nil:
 			return nil, false, err
 		case len(body) < cap(body):
@@ -160,7 +182,12 @@
 // Read implements io.Reader.
 func (r *restReader) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
-	r.complete = r.complete || err == io.EOF
+	if err == io.EOF && !r.complete {
+		if endErr := r.exchange.checkEnd(r.resp); endErr != nil {
+			return n, endErr
+		}
+		r.complete = true
+	}
 	return n, err
 }
 
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -167,7 +167,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	x := &exchange{roundTripper: t, conn: conn, req: req, stopCancel: stop}
+	x := &exchange{ctx: ctx, roundTripper: t, conn: conn, req: req, stopCancel: stop}
 	resp, err := x.roundTrip()
 	if err != nil && !x.released {
 		stop()
@@ -222,6 +222,7 @@
 
 // exchange is the state of one request and its response on one connection.
 type exchange struct {
+	ctx          context.Context
 	roundTripper *RoundTripper
 	conn         *persistConn
 	req          *Request
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -13,12 +14,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"magnoliahill.example/magnoliahill/internal/verifier"
 )
 
 const (
 	maxValueBytes    = 1 << 20 // bytes, the platform's limit
 	defaultTimeout   = 2 * time.Second
 	defaultWatchWait = 20 * time.Second
+	keepAlive        = 15 * time.Second
+	idleTimeout      = 60 * time.Second
 )
 
 // Client implements Store with the platform's HTTP protocol.
@@ -54,7 +59,7 @@
 func New(base string, options ...Option) *Client {
 	c := &Client{
 		base:      strings.TrimSuffix(base, "/"),
-		http:      &http.Client{},
+		http:      &http.Client{Transport: defaultTransport},
 		timeout:   defaultTimeout,
 		watchWait: defaultWatchWait,
 	}
@@ -64,6 +69,11 @@
 	return c
 }
 
+// defaultTransport is shared by all clients without a transport of their own.
+var defaultTransport = &http.Transport{
+	DialContext: verifier.Dial((&net.Dialer{KeepAlive: keepAlive}).DialContext), IdleConnTimeout: idleTimeout,
+}
+
 // CallCount returns the number of calls made to the platform so far.
 func (c *Client) CallCount() int64 { return c.calls.Load() }
 
