verifier: reject heads of responses that the protocol does not allow

Cause: the library takes 000, 099 and +20 for a status, and a name that ends with a blank for a field of another name. The round tripper skipped all statuses under 200 as interim responses, and read the body of such a one as the next head: a response in it reached the caller as the server's own, signed. "Content-Length : 2" hides the length, and the rest of the connection becomes the body.

One package now checks heads wherever responses are read: version 1, a status from 100 to 599, no 101, which nobody asked for, and names of fields that are tokens, also in interim heads and in trailers. What fails is no response: the connection is closed, and the request may have run. Callers get 502, or the request is sent again where that is harmless, as after any broken response. Used by the round tripper (also for relayed responses), the forwarder with serve and pkg/caller, and the clients of both stores and of other hosts. Names with control bytes, tabs or bytes beyond ASCII, and a first line that is folded, are rejected by this version of the library itself; the cases are in the test. Later folded lines are joined to one value with a blank, as the protocol allows.

--- a/internal/commander/join.go
+++ b/internal/commander/join.go
@@ -78,9 +78,9 @@
 			Enable: true, Idle: storeKeepAlive, Interval: storeKeepAlive, Count: 2,
 		},
 	}
-	return &http.Transport{
+	return verifier.Transport(&http.Transport{
 		DialContext: verifier.Dial(dialer.DialContext), MaxIdleConnsPerHost: 8, DisableCompression: true,
-	}
+	})
 }
 
 // reloadSignals returns a channel that receives a value for each SIGHUP until the
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"magnoliahill.example/magnoliahill/internal/verifier"
 	"magnoliahill.example/magnoliahill/pkg/header"
 )
 
@@ -84,7 +85,7 @@
 		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return resp.StatusCode < http.StatusInternalServerError
+	return verifier.CheckHead(resp) == nil && resp.StatusCode < http.StatusInternalServerError
 }
 
 // trace records the connection of an attempt and whether any byte was written.
@@ -154,14 +155,37 @@
 		}
 		return nil, errors.Wrap(err, "no answer from backend server")
 	}
+	if err := verifier.CheckHead(resp); err != nil {
+		t.sealAndReportWritten() // where the next response begins is not known
+		_ = resp.Body.Close()
+		return nil, errors.Wrap(err, "no answer from backend server")
+	}
 	if err := f.checkResponse(req, resp, t.onReusedConn()); err != nil {
 		_, _ = io.CopyN(io.Discard, resp.Body, maxResponseHeader)
 		_ = resp.Body.Close()
 		return nil, err
 	}
+	resp.Body = &checkedBody{ReadCloser: resp.Body, resp: resp}
 	return resp, nil
 }
 
+// checkedBody is the body of a response whose trailers are checked at its end.
+type checkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if invalid := verifier.CheckFields(b.resp.Trailer); invalid != nil {
+			return n, invalid
+		}
+	}
+	return n, err
+}
+
 // safeWithoutBody reports whether a request has no body and a safe method, so
 // that a retry by the transport is harmless.
 func safeWithoutBody(req *http.Request) bool {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -55,9 +55,9 @@
 	d := &net.Dialer{Timeout: dialTimeout}
 	m.httpClient = &http.Client{Transport: &partitionTransport{
 		partitioned: m.partitioned,
-		next: &http.Transport{
+		next: verifier.Transport(&http.Transport{
 			DialContext: verifier.Dial(d.DialContext), IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 4,
-		},
+		}),
 	}}
 	return m
 }
--- a/internal/roundtripper/response.go
+++ b/internal/roundtripper/response.go
@@ -81,11 +81,14 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// checkEnd checks at the end of a body that it is whole. The end
+// checkEnd checks at the end of a body that it is whole and its trailers are valid. The end
 // of a connection proves that unless the connection was reset, of which the sender of a long
 // request body may be told instead of the reader. Where the system does not tell how the
 // connection ended, the response is whole only if that body was sent without an error.
 func (x *exchange) checkEnd(resp *http.Response) error {
+	if err := verifier.CheckFields(resp.Trailer); err != nil {
+		return err
+	}
 	if !endsWithConnection(resp) || x.sendResult == nil || verifier.EndOf(x.conn.Conn) == verifier.EndOrderly {
 		return nil
 	}
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -20,6 +20,7 @@
 
 	"magnoliahill.example/magnoliahill/internal/forwarder"
 	"magnoliahill.example/magnoliahill/internal/timekeeper"
+	"magnoliahill.example/magnoliahill/internal/verifier"
 	"magnoliahill.example/magnoliahill/pkg/header"
 )
 
@@ -336,6 +337,9 @@
 	defer func() { x.conn.limiter.left = unlimited }()
 	for interim := 0; interim <= maxInterim; {
 		resp, err := http.ReadResponse(x.conn.reader, methodOnly)
+		if err == nil {
+			err = verifier.CheckHead(resp)
+		}
 		if err != nil {
 			return nil, errors.Wrap(ErrBadResponse, err.Error())
 		}
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -66,6 +66,7 @@
 	for _, option := range options {
 		option(c)
 	}
+	c.http.Transport = verifier.Transport(c.http.Transport)
 	return c
 }
 
--- a/internal/verifier/conn.go
+++ b/internal/verifier/conn.go
@@ -1,4 +1,3 @@
-// Package verifier tells the end of a response from a connection that was reset.
 package verifier
 
 import (
