server: bound the connections of both listeners

The daemon of `serve` accepted whatever came, as the one of `join` did: 20 silent connections stayed open with room for 5, on the callers' listener and on that for other hosts, and a caller that read nothing of its response kept the call for as long as it liked.

Both listeners use the acceptor: at listen.max-connections (4,096) silent, idle and stalled connections are closed for new ones, and a write fails if the caller takes no byte for listen.stall-timeout (20 s). `serve` knows no limits of its machine, so its receive buffers stay as they are.

TestSilentConnectionsLeaveRoomForOthers failed before (20 open, 5 allowed).

--- a/internal/loader/listen.go
+++ b/internal/loader/listen.go
@@ -16,7 +16,9 @@
 	headerTimeout time.Duration
 	bodyTimeout   time.Duration // maximum pause while a caller sends its body
 	idleTimeout   time.Duration
-	maxHeader     int // bytes
+	stallTimeout  time.Duration // how long a caller may take no byte of a response
+	maxHeader     int           // bytes
+	maxConns      int           // open connections of each listener
 }
 
 // Data returns the host:port of the listener for callers.
@@ -42,6 +44,12 @@
 // IdleTimeout returns how long an idle connection is kept open.
 func (l Listen) IdleTimeout() time.Duration { return l.idleTimeout }
 
+// StallTimeout returns how long a caller may take no byte of a response.
+func (l Listen) StallTimeout() time.Duration { return l.stallTimeout }
+
+// MaxConnections returns the maximum number of open connections of each listener.
+func (l Listen) MaxConnections() int { return l.maxConns }
+
 // MaxHeaderBytes returns the maximum size of a request header in bytes.
 func (l Listen) MaxHeaderBytes() int { return l.maxHeader }
 
@@ -54,6 +62,8 @@
 		headerTimeout: m.Duration("header-timeout", 5*time.Second, time.Millisecond, time.Hour),
 		bodyTimeout:   m.Duration("body-timeout", 10*time.Second, time.Millisecond, time.Hour),
 		idleTimeout:   m.Duration("idle-timeout", 2*time.Minute, time.Second, time.Hour),
+		stallTimeout:  m.Duration("stall-timeout", 20*time.Second, time.Millisecond, time.Hour),
+		maxConns:      m.Int("max-connections", 4096, 1, 1<<20),
 		maxHeader:     m.Int("max-header-bytes", 32<<10, 1<<10, 1<<20),
 	}
 	if (l.certificate == "") != (l.keyFile == "") {
--- a/internal/server/host_test.go
+++ b/internal/server/host_test.go
@@ -27,6 +27,7 @@
 	platform    *platform.Platform
 	store       *storer.Client
 	dataAddress string
+	control     string // address
 	done        chan error
 }
 
@@ -58,7 +59,7 @@
 		"keys.yaml":     "kind: keys\nkeys-of: w\nkeys: [{id: k, sha256: " + cataloger.HashKey(testKey).String() + "}]",
 	})
 	data, control := listen(t), listen(t)
-	h.dataAddress = data.Addr().String()
+	h.dataAddress, h.control = data.Addr().String(), control.Addr().String()
 	settings, err := loader.Parse("h.yaml", []byte(fmt.Sprintf(`
 host: {name: h, zone: z}
 listen: {data: %q, control: %q, %s}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
+	"magnoliahill.example/magnoliahill/internal/acceptor"
 	"magnoliahill.example/magnoliahill/internal/forwarder"
 	"magnoliahill.example/magnoliahill/internal/loader"
 	"magnoliahill.example/magnoliahill/internal/logger"
@@ -182,7 +183,7 @@
 	defer cancel()
 	failed := make(chan error, 2)
 	go func() { failed <- s.serveData() }()
-	go func() { failed <- s.controlServer.Serve(s.controlListener) }()
+	go func() { failed <- s.controlServer.Serve(s.accept(s.controlServer, s.controlListener)) }()
 	go s.loop.run(controlCtx)
 	s.startWorkers(controlCtx)
 	klog.InfoS("host started", "host", s.id.Name, "zone", s.settings.Host().Zone(),
@@ -227,11 +228,22 @@
 }
 
 func (s *Server) serveData() error {
+	listener := s.accept(s.dataServer, s.dataListener)
 	if s.dataCertificate == nil {
-		return s.dataServer.Serve(s.dataListener)
+		return s.dataServer.Serve(listener)
 	}
 	s.dataServer.TLSConfig = s.dataCertificate.config()
-	return s.dataServer.ServeTLS(s.dataListener, "", "")
+	return s.dataServer.ServeTLS(listener, "", "")
+}
+
+// accept bounds the connections of a server, and returns the listener that it has to serve.
+func (s *Server) accept(server *http.Server, listener net.Listener) net.Listener {
+	listen := s.settings.Listen()
+	accepted := acceptor.New(listener, acceptor.WithMaxConns(listen.MaxConnections()), acceptor.WithStallTimeout(listen.StallTimeout()),
+		acceptor.WithScope(s.recorder.Scope()))
+	server.Handler = accepted.Handler(server.Handler)
+	server.ConnContext = accepted.ConnContext
+	return accepted
 }
 
 // Stop requests a planned stop and returns at once.
