caller: return an error for a response that is longer than the library reads

The library reads 8 MB of a body and returned that much of a longer one as the whole response: a beginning must not look complete. It now reads a byte more, and returns ErrBodyTooLong, without another attempt, since the request has run.

TestResponseLongerThanIsReadIsAnError failed before.

--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -21,6 +21,10 @@
 // ErrOutcomeUnknown means that a request that must not run twice may have run.
 var ErrOutcomeUnknown = errors.New("request may or may not have run")
 
+// ErrBodyTooLong means that a request was answered with a body of over 8 MiB, which the
+// library does not read. The request has run.
+var ErrBodyTooLong = errors.New("response body is too long")
+
 const (
 	maxAttempts      = 6 // per request, over all hosts
 	maxBodyBytes     = 8 << 20
@@ -117,6 +121,8 @@
 			if retry, waitErr := c.waitForRetry(ctx, host, response); !retry {
 				return response, waitErr
 			}
+		case errors.Is(err, ErrBodyTooLong):
+			return nil, err
 		case errors.Is(err, forwarder.ErrNotRun) || isSafe(r.Method):
 			c.directory.markFailed(host)
 			lastErr = err
@@ -197,10 +203,13 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "response body was cut short")
 	}
+	if len(body) > maxBodyBytes {
+		return nil, ErrBodyTooLong
+	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Body: body,
 		Host:    resp.Header.Get(header.Host),
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -136,3 +136,24 @@
 	is.Equal(got.Reason, header.ReasonOverRate)
 	is.Equal(e.requests.Load(), int64(1))
 }
+
+// Guards against the beginning of a long response that is returned as the whole.
+func TestResponseLongerThanIsReadIsAnError(t *testing.T) {
+	for _, size := range []int{8 << 20, 8<<20 + 1} {
+		is := is.New(t)
+		host := newFakeHost(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(header.Outcome, header.OutcomeAnswered)
+			_, _ = w.Write(make([]byte, size))
+		})
+		c := caller.New([]string{host.address()})
+		defer c.Close()
+		resp, err := sendOrder(c)
+		if size > 8<<20 {
+			is.True(errors.Is(err, caller.ErrBodyTooLong))
+			is.Equal(host.requests.Load(), int64(1))
+			continue
+		}
+		is.NoErr(err)
+		is.Equal(len(resp.Body), size)
+	}
+}
