dispatcher: leave memory to short bodies beside uploads that trickle

Uploads reserve 64 KB each until they have arrived. Clients that send theirs slowly could hold all memory for bodies, and every order with a body was refused with 503 for as long as they did, however short.

Bodies of over 4 KB may use seven eighths of that memory. The rest is for short ones, about as much as all callers' connections can hold of these at one time.

TestUploadsThatTrickleLeaveMemoryToShortBodies failed before (503 for an order of 6 bytes beside four uploads that hold the memory).

--- a/internal/dispatcher/bodies.go
+++ b/internal/dispatcher/bodies.go
@@ -14,6 +14,13 @@
 // that they leave room for requests.
 const responseShare = 0.5
 
+// Long request bodies leave a share of the memory to bodies of at most shortBodyBytes:
+// clients that send slowly could hold all of it otherwise.
+const (
+	longBodyShare  = 0.875
+	shortBodyBytes = 4 << 10
+)
+
 // bodyBudget bounds the bytes of request and response bodies that the host holds at one
 // time. A host with little memory may have thousands of connections, each with an upload or
 // with a response whose body does not end.
@@ -23,11 +30,15 @@
 	responses atomic.Int64 // of response bodies; not more than held
 }
 
-// reserve reserves bytes and reports whether they are within the limit. A single
-// body is always accepted.
+// reserve reserves bytes for a request body and reports whether they are within the limit. A
+// single body is always accepted.
 func (b *bodyBudget) reserve(bytes int64) bool {
 	held := b.held.Add(bytes)
-	if b.limit > 0 && held > b.limit && held > bytes {
+	limit := b.limit
+	if bytes > shortBodyBytes {
+		limit = int64(longBodyShare * float64(limit))
+	}
+	if b.limit > 0 && held > limit && held > bytes {
 		b.held.Add(-bytes)
 		return false
 	}
--- a/internal/dispatcher/memory_test.go
+++ b/internal/dispatcher/memory_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -78,3 +80,25 @@
 		}
 	}
 }
+
+// Guards against uploads that trickle and hold all memory for bodies: an ordinary order has
+// a short one.
+func TestUploadsThatTrickleLeaveMemoryToShortBodies(t *testing.T) {
+	is := is.New(t)
+	const uploads = 4 // of 64 KB each
+	s := newTestHost(t, 1, dispatcher.WithBodyMemory(uploads<<16))
+	for range uploads {
+		conn, err := net.Dial("tcp", s.server.Listener.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "POST /slow/ HTTP/1.1\r\nHost: shop\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")
+		is.NoErr(err)
+	}
+	for s.dispatcher.BodyBytes() < (uploads-1)<<16 {
+		time.Sleep(time.Millisecond)
+	}
+	for s.dispatcher.InFlight() > uploads-1 && s.dispatcher.BodyBytes() < uploads<<16 {
+		time.Sleep(time.Millisecond) // the last one is refused, or holds memory as well
+	}
+	is.Equal(s.send(http.MethodPost, "/order/", "a", "brooms").status, http.StatusOK)
+}
