acceptor: name the cases of a write, and correct comments

A write in a switch instead of a chain of conditions; no change in what it does. The order in which connections are closed speaks of writes that wait, which is what is measured: a client that takes some bytes of a piece of 64 KB waits as well.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -20,7 +20,7 @@
 	// newConnGrace is how long a connection may take to send its first request before it is
 	// closed in favour of a new one.
 	newConnGrace = time.Second
-	// stallGrace is the same for a client that takes no byte of a response.
+	// stallGrace is the same for a write that waits for the client to read.
 	stallGrace = time.Second
 	// stallSearchInterval bounds the time spent searching for such clients.
 	stallSearchInterval = 100 * time.Millisecond
@@ -34,7 +34,7 @@
 const (
 	reasonSilent  reason = "silent"  // it has sent no whole request
 	reasonIdle    reason = "idle"    // it has waited the longest since its last response
-	reasonStalled reason = "stalled" // its client takes no byte of a response
+	reasonStalled reason = "stalled" // a write waits for its client to read
 	reasonRefused reason = "refused" // it is new, and all others are in use
 	reasonHeads   reason = "heads"   // request heads take too much memory
 )
@@ -108,7 +108,7 @@
 	return a
 }
 
-// SetHeadLimits sets the limits on the heads of requests that begin from now on.
+// SetHeadLimits sets the limits on the head of each request.
 func (a *Acceptor) SetHeadLimits(limits HeadLimits) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -158,9 +158,8 @@
 }
 
 // victim returns the connection to close in favour of a new one: the first one that should
-// have sent a request by now, the one that was idle the longest, or the one whose client has
-// taken no byte of a response the longest. It returns nil if there is none. The caller
-// holds the lock.
+// have sent a request by now, the one that was idle the longest, or the one on which a write
+// waits the longest. It returns nil if there is none. The caller holds the lock.
 func (a *Acceptor) victim(now time.Time) (*conn, reason) {
 	if first := a.waiting.Front(); first != nil && now.Sub(first.Value.(*conn).since) >= newConnGrace {
 		return first.Value.(*conn), reasonSilent
@@ -275,9 +274,10 @@
 	}
 }
 
-// addHead adds bytes that were read of a head, and returns the limits on it. If all heads
-// take too much memory, it closes the connections whose heads have been under way the
-// longest.
+// addHead adds bytes that were read of a head, and returns the limits on it, whether they are
+// its first bytes, and whether it is too long. If all heads take too much memory, it closes
+// the connections whose heads have been under way the longest. Bytes that are read while a
+// request is served are those of its body, or were sent ahead.
 func (a *Acceptor) addHead(c *conn, n int) (limits HeadLimits, first, tooLong bool) {
 	a.mu.Lock()
 	if c.serving > 0 || !a.open[c] {
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -29,7 +29,7 @@
 // errHeadTooLong is of a kind to which the server adds no response of its own.
 var errHeadTooLong = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("request head is longer than the limit")}
 
-// conn is a client's connection. Its Acceptor's lock guards the fields without an own one.
+// conn is a client's connection. The acceptor's lock guards the fields from place to grown.
 type conn struct {
 	net.Conn
 	acceptor  *Acceptor
@@ -108,13 +108,14 @@
 	return c.SetWriteDeadline(t)
 }
 
-// Write implements net.Conn. It fails if the client takes no byte for the stall timeout.
+// Write implements net.Conn. It fails if the client takes no byte for the stall timeout: if
+// nothing was written and nothing more was acknowledged between two deadlines.
 func (c *conn) Write(p []byte) (int, error) {
 	if c.rejected.Load() {
 		return 0, errHeadTooLong
 	}
 	defer c.writingSince.Store(0)
-	written, unsent := 0, -1
+	written, unsent := 0, notKnown // unsent is that at the last deadline, if nothing was written since
 	for {
 		now := time.Now()
 		c.writingSince.Store(max(1, int64(now.Sub(c.acceptor.start))))
@@ -124,25 +125,25 @@
 		}
 		n, err := c.Conn.Write(p[written:min(len(p), written+maxWrite)])
 		written += n
-		if err == nil && written == len(p) {
+		switch {
+		case err == nil && written == len(p):
 			return written, nil
-		}
-		if n > 0 {
-			unsent = -1
-		}
-		if err == nil {
+		case err == nil:
+			unsent = notKnown
 			continue
-		}
-		if limited || !errors.Is(err, os.ErrDeadlineExceeded) {
+		case limited || !errors.Is(err, os.ErrDeadlineExceeded):
 			return written, err
 		}
 		before := unsent
-		if unsent = c.unsent(); n == 0 && before >= 0 && unsent >= before {
+		unsent = c.unsent()
+		if n == 0 && before != notKnown && unsent >= before {
 			return written, err
 		}
 	}
 }
 
+const notKnown = -1
+
 // extendWriteDeadline sets the deadline of a write, and reports whether it is the one that
 // the server has set.
 func (c *conn) extendWriteDeadline(now time.Time) (bool, error) {
