overload: check beside crowds that an order with a body is answered as well

Stricter than before: the check of an ordinary request had no body, and would not have seen uploads that hold all memory for bodies.

--- a/overload/host_test.go
+++ b/overload/host_test.go
@@ -103,7 +103,7 @@
 		close(h.exited)
 	}()
 	t.Cleanup(h.stop)
-	h.eventually("the host serves requests", func() bool { return h.request("/read/") == nil })
+	h.eventually("the host serves requests", func() bool { return h.request("/read/", "") == nil })
 	return h
 }
 
@@ -185,11 +185,15 @@
 	h.t.Cleanup(func() { h.backend.CloseClientConnections(); h.backend.Close() })
 }
 
-// request sends one ordinary request on a new connection. The error says why it was not
-// answered.
-func (h *host) request(path string) error {
+// request sends one ordinary request on a new connection, with a body unless that is empty.
+// The error says why it was not answered.
+func (h *host) request(path, body string) error {
 	headers := platform.HeaderNames()
-	req, err := http.NewRequest(http.MethodGet, "http://"+h.listener("Front")+path+"?size=2000", nil)
+	method := http.MethodGet
+	if body != "" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequest(method, "http://"+h.listener("Front")+path+"?size=2000", strings.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -42,12 +42,13 @@
 	if !h.alive() {
 		h.t.Fatalf("the process has ended %s", when)
 	}
-	h.checkAnswered(when, "a request", func() error { return h.request("/read/") })
+	h.checkAnswered(when, "a request", func() error { return h.request("/read/", "") })
+	h.checkAnswered(when, "an order", func() error { return h.request("/read/", "brooms") })
 	h.checkAnswered(when, "a look-up", func() error { return h.ask("Directory", platform.LookupPath+"?Name=shop&Region=r0&Zone=z0") })
 	h.checkAnswered(when, "a readiness check", func() error { return h.ask("Ready", platform.ReadyPath) })
 	added := "added" + string(rune('a'+h.version))
 	h.configure("read", added)
-	h.eventually("a change of the configuration arrives "+when, func() bool { return h.request("/"+added+"/") == nil })
+	h.eventually("a change of the configuration arrives "+when, func() bool { return h.request("/"+added+"/", "") == nil })
 }
 
 // checkAnswered checks that one of a few tries is answered.
