roundtripper: bound connections to backend servers and to other hosts together

A host that is cut off from backend servers relays all its requests. And the shares of calls and of requests started ahead together were more than that of connections to backend servers, so that a crowd could make these look unreachable. Not seen; found by adding up the table of docs/design/untrusted-clients.md.

Both round trippers share one limit, which is at least what all calls and all requests started ahead can take: at the limit one of them has an idle connection, which is closed.

--- a/internal/controller/connlimits.go
+++ b/internal/controller/connlimits.go
@@ -15,21 +15,21 @@
 // listeners need some as well.
 const (
 	callerShare    = 0.26
-	backendShare   = 0.38 // a call has one, and idle ones are closed for others
-	aheadShare     = 0.10 // requests sent ahead, which have connections to backend servers within backendShare
-	controlShare   = 0.12 // other hosts
+	outgoingShare  = 0.43 // to backend servers, and to hosts that requests are relayed to; idle ones are closed for others
+	aheadShare     = 0.08 // requests sent ahead, whose connections are within outgoingShare
+	controlShare   = 0.10 // other hosts
 	lookupShare    = 0.06
-	relayedShare   = 0.05 // requests that other hosts relay
-	relayShare     = 0.05 // requests relayed to other hosts
+	relayedShare   = 0.08 // requests that other hosts relay
 	readinessShare = 0.01
 	metricsShare   = 0.01
 )
 
 const (
-	fileDescriptors = 200       // of the process's descriptors; the others are for sockets
-	minConns        = 4         // of each listener
-	ownMemory       = 24 << 20  // bytes that the process takes without connections
-	connMemory      = 160 << 10 // bytes that a caller's connection may take in all phases: goroutines, buffers, bytes not read
+	fileDescriptors    = 200       // of the process's descriptors; the others are for sockets
+	defaultDescriptors = 4096      // if the settings name none
+	minConns           = 4         // of each listener
+	ownMemory          = 24 << 20  // bytes that the process takes without connections
+	connMemory         = 160 << 10 // bytes that a caller's connection may take in all phases: goroutines, buffers, bytes not read
 
 	headMemoryDivisor   = 16 // share of the process's memory for the heads that a listener reads
 	uploadMemoryDivisor = 32 // the same for receive buffers of uploadBuffer bytes
@@ -45,25 +45,24 @@
 // connLimits are the limits on connections that follow from the descriptors and the memory
 // of the process.
 type connLimits struct {
-	sockets int // 0 means no limit
-	memory  int64
-	backend int // connections to backend servers
-	relays  int // connections to hosts that requests are relayed to
-	ahead   int // requests started ahead
+	sockets  int // of the process
+	memory   int64
+	outgoing int // connections to backend servers and to hosts that requests are relayed to
+	ahead    int // requests started ahead
 }
 
 func newConnLimits(d *loader.Deployment) connLimits {
-	l := connLimits{sockets: max(d.MaxDescriptors-fileDescriptors, 0), memory: int64(d.MemoryMB) << 20}
-	l.backend, l.relays, l.ahead = l.conns(backendShare), l.conns(relayShare), l.conns(aheadShare)
+	descriptors := d.MaxDescriptors
+	if descriptors == 0 {
+		descriptors = defaultDescriptors
+	}
+	l := connLimits{sockets: max(descriptors-fileDescriptors, 0), memory: int64(d.MemoryMB) << 20}
+	l.outgoing, l.ahead = l.conns(outgoingShare), l.conns(aheadShare)
 	return l
 }
 
-// conns returns the number of connections that a share of the sockets allows, or 0 without a
-// limit.
+// conns returns the number of connections that a share of the sockets allows.
 func (l *connLimits) conns(share float64) int {
-	if l.sockets == 0 {
-		return 0
-	}
 	return max(int(share*float64(l.sockets)), minConns)
 }
 
@@ -72,10 +71,7 @@
 func (l *connLimits) accept(listener net.Listener, share float64, scope tally.Scope) *acceptor.Acceptor {
 	most := l.conns(share)
 	if l.memory > 0 {
-		byMemory := max(int((l.memory-ownMemory)/connMemory), minConns)
-		if most == 0 || most > byMemory {
-			most = byMemory
-		}
+		most = min(most, max(int((l.memory-ownMemory)/connMemory), minConns))
 	}
 	a := acceptor.New(listener, acceptor.WithMaxConns(most), acceptor.WithMaxHeadBytes(l.memory/headMemoryDivisor),
 		acceptor.WithReadBuffer(callerBuffer), acceptor.WithBodyBuffer(uploadBuffer, int(l.memory/uploadMemoryDivisor/(2*uploadBuffer))),
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -151,11 +151,10 @@
 	headers := platform.HeaderNames()
 	clock := roundtripper.WithClock(c.clock)
 	c.limits = newConnLimits(settings)
-	c.relays = &relays{
-		RoundTripper: roundtripper.New(headers, maxIdleRelays, clock, roundtripper.WithMaxConns(c.limits.relays)), region: settings.Region,
-	}
+	outgoing := roundtripper.WithConnLimit(roundtripper.NewConnLimit(c.limits.outgoing))
+	c.relays = &relays{RoundTripper: roundtripper.New(headers, maxIdleRelays, clock, outgoing), region: settings.Region}
 	c.roundTripper = roundtripper.New(headers, settings.MaxDescriptors/idleDescriptorDivisor,
-		append(c.backendOptions, clock, roundtripper.WithMaxConns(c.limits.backend))...)
+		append(c.backendOptions, clock, outgoing)...)
 	c.dispatcher = dispatcher.New(headers, platform, c.clock, c.charger, c.placer, c.roundTripper, c.recorder,
 		dispatcher.WithRetries(retryShare(settings, settings.ExpectedHosts)),
 		dispatcher.WithQuarantine(c.quarantine, c),
--- a/internal/controller/pipelining.go
+++ b/internal/controller/pipelining.go
@@ -21,9 +21,7 @@
 	if memory <= 0 || memory > maxPipelineMemory {
 		memory = maxPipelineMemory
 	}
-	if c.limits.ahead > 0 {
-		memory = min(memory, int64(c.limits.ahead)*pipeliner.RunCost)
-	}
+	memory = min(memory, int64(c.limits.ahead)*pipeliner.RunCost)
 	return pipeliner.New(c.dispatcher, c.dispatcher, pipeliner.WithMemory(memory), pipeliner.WithScope(c.recorder.Scope()))
 }
 
--- a/internal/roundtripper/pool.go
+++ b/internal/roundtripper/pool.go
@@ -30,8 +30,7 @@
 	idle      map[string][]*persistConn
 	idleCount int               // idle connections to all backend servers
 	maxIdle   int               // limit of idleCount
-	open      int               // connections that were dialed and not closed; not more than maxOpen but for those being dialed
-	maxOpen   int               // 0 means no limit
+	limit     *ConnLimit        // nil if there is none
 	dialCount [dialCauses]int64 // connections dialed, including failed ones
 }
 
@@ -142,50 +141,50 @@
 	return newPersistConn(conn, key, p.closed), nil
 }
 
-// errTooManyConns is returned at the limit on connections if none of them is idle.
-var errTooManyConns = errors.New("too many open connections")
-
-// reserve counts a connection that is about to be dialed. At the limit it closes one that
-// is idle.
+// reserve counts a connection that is about to be dialed, within the limit.
 func (p *pool) reserve(cause dialCause) error {
-	p.mu.Lock()
-	var oldest *persistConn
-	if p.maxOpen > 0 && p.open >= p.maxOpen {
-		if oldest = p.removeOldest(); oldest == nil {
-			p.mu.Unlock()
-			return errTooManyConns
+	if p.limit != nil {
+		if err := p.limit.reserve(); err != nil {
+			return err
 		}
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.dialCount[cause]++
-	p.open++
-	p.mu.Unlock()
-	if oldest != nil {
-		_ = oldest.Close()
-	}
 	return nil
 }
 
-// removeOldest removes the connection that was idle the longest from the pool, and returns
-// nil if none is idle. The caller holds the lock.
-func (p *pool) removeOldest() *persistConn {
+// closed counts that a connection is open no more.
+func (p *pool) closed() {
+	if p.limit != nil {
+		p.limit.release()
+	}
+}
+
+// oldest returns the connection that has been idle the longest, or nil if none is idle.
+func (p *pool) oldest() *persistConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var oldest *persistConn
 	for _, list := range p.idle {
 		if len(list) > 0 && (oldest == nil || list[0].idleSince < oldest.idleSince) {
 			oldest = list[0]
 		}
 	}
-	if oldest != nil {
-		p.idle[oldest.key] = slices.Delete(p.idle[oldest.key], 0, 1)
-		p.idleCount--
-	}
 	return oldest
 }
 
-// closed counts that a connection is open no more.
-func (p *pool) closed() {
+// remove removes an idle connection from the pool, and reports whether it was in it.
+func (p *pool) remove(c *persistConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open--
+	i := slices.Index(p.idle[c.key], c)
+	if i < 0 {
+		return false
+	}
+	p.idle[c.key] = slices.Delete(p.idle[c.key], i, i+1)
+	p.idleCount--
+	return true
 }
 
 // put adds a connection whose last response was read completely. It closes the
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -120,10 +120,6 @@
 // WithClock replaces the clock of the process.
 func WithClock(c Clock) Option { return func(t *RoundTripper) { t.clock = c } }
 
-// WithMaxConns limits the number of open connections; 0 means no limit. At the limit an idle
-// connection is closed for a new one, and if there is none the backend server is unreachable.
-func WithMaxConns(n int) Option { return func(t *RoundTripper) { t.pool.maxOpen = n } }
-
 // New returns a round tripper that keeps at most maxIdle idle connections in total.
 func New(headerNames header.Names, maxIdle int, options ...Option) *RoundTripper {
 	t := &RoundTripper{headerNames: headerNames, pool: newPool(maxIdle), clock: timekeeper.New()}
