roundtripper: fuzz responses with heads that the protocol does not allow

The seeds of FuzzResponse include them, and what is taken for a response must have a status from 200 to 599 and no blank or control byte in a field's name.

--- a/internal/roundtripper/fuzz_test.go
+++ b/internal/roundtripper/fuzz_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -52,6 +53,14 @@
 		if resp.Rest != nil {
 			_ = resp.Rest.Close()
 		}
+		if resp.Status < 200 || resp.Status > 599 {
+			t.Fatalf("%q is taken for a response with status %d", data, resp.Status)
+		}
+		for name := range resp.Header {
+			if strings.ContainsAny(name, " \t\x00\x01\x7f") {
+				t.Fatalf("%q is taken for a response with a field %q", data, name)
+			}
+		}
 		signed := resp.Header.Get(headerNames.ResponseStamp) != ""
 		if resp.Status < 300 && !signed || signed && resp.Header.Get(headerNames.RequestID) != "b" {
 			t.Fatalf("%q is taken for a response to this request", data)
@@ -65,11 +74,12 @@
 func responseSeeds(t testing.TB) [][]byte {
 	t.Helper()
 	var seeds [][]byte
-	for _, file := range []string{"cuts.yaml", "repeats.yaml"} {
+	for _, file := range []string{"cuts.yaml", "repeats.yaml", "../../verifier/testdata/heads.yaml"} {
 		var cases []struct{ Text, Again string }
 		readCases(t, file, &cases)
 		for _, c := range cases {
-			seeds = append(seeds, []byte(c.Text+c.Again))
+			text := strings.ReplaceAll(c.Text+c.Again, "$ID", "X-Id: b\r\nX-Signature: s\r\n")
+			seeds = append(seeds, []byte(text))
 		}
 	}
 	return seeds
