--- a/internal/roundtripper/limit.go
+++ b/internal/roundtripper/limit.go
@@ -9,14 +9,14 @@
 // errTooManyConns is returned at the limit on connections if none of them is idle.
 var errTooManyConns = errors.New("too many open connections")
 
-// ConnLimit is a limit on the open connections of several round tripper together. At the
+// ConnLimit is a limit on the open connections of several round trippers together. At the
 // limit one that is idle is closed for a new one, and if there is none the backend server
 // is unreachable.
 type ConnLimit struct {
 	max   int
 	mu    sync.Mutex
-	open  int // connections that were dialed, or are being dialed, and are not closed; at most max
-	pools []*pool
+	open  int     // connections that were dialed, or are being dialed, and are not closed; at most max
+	pools []*pool // does not change once requests are sent
 }
 
 // NewConnLimit returns a limit of n connections.
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -72,6 +72,7 @@
 
 // defaultTransport is shared by all clients without a transport of their own.
 var defaultTransport = &http.Transport{
+	Proxy:       http.ProxyFromEnvironment,
 	DialContext: verifier.Dial((&net.Dialer{KeepAlive: keepAlive}).DialContext), IdleConnTimeout: idleTimeout,
 }
 
