messenger: check responses outside of the simulated partition

The check of heads stood between the transport of a simulated partition and the library's, so that closing idle connections needed a type assertion there as well. Around both, the partition's transport is as it was. No change in behaviour.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -53,19 +53,19 @@
 		option(m)
 	}
 	d := &net.Dialer{Timeout: dialTimeout}
-	m.httpClient = &http.Client{Transport: &partitionTransport{
+	m.httpClient = &http.Client{Transport: verifier.Transport(&partitionTransport{
 		partitioned: m.partitioned,
-		next: verifier.Transport(&http.Transport{
+		next: &http.Transport{
 			DialContext: verifier.Dial(d.DialContext), IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 4,
-		}),
-	}}
+		},
+	})}
 	return m
 }
 
 // partitionTransport fails calls to partitioned addresses.
 type partitionTransport struct {
 	partitioned func(address string) bool
-	next        http.RoundTripper
+	next        *http.Transport
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -77,11 +77,7 @@
 }
 
 // CloseIdleConnections lets http.Client close the idle connections.
-func (t *partitionTransport) CloseIdleConnections() {
-	if closer, ok := t.next.(interface{ CloseIdleConnections() }); ok {
-		closer.CloseIdleConnections()
-	}
-}
+func (t *partitionTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
 
 // Close closes idle connections.
 func (m *Messenger) Close() { m.httpClient.CloseIdleConnections() }
