acceptor: read the clock only where a time is kept

Each read and each deadline of a connection read the clock, though a time is needed only for the first bytes of a head on a kept connection, at a limit, and within a head. The end of a head is noted in one place. No change in behaviour.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -204,9 +204,14 @@
 	}
 	delete(a.open, c)
 	a.unlist(c)
+	a.endHead(c)
+	a.shrink(c)
+}
+
+// endHead notes that no head is under way on a connection. The caller holds the lock.
+func (a *Acceptor) endHead(c *conn) {
 	a.headBytes -= c.headBytes
 	c.headBytes = 0
-	a.shrink(c)
 }
 
 // unlist takes a connection off its list. The caller holds the lock.
@@ -257,8 +262,7 @@
 	defer a.mu.Unlock()
 	c.serving++
 	a.unlist(c)
-	a.headBytes -= c.headBytes
-	c.headBytes = 0
+	a.endHead(c)
 }
 
 // end notes that a request was served.
@@ -285,17 +289,16 @@
 		a.mu.Unlock()
 		return HeadLimits{}, false, false
 	}
-	now := time.Now()
 	if first = c.headBytes == 0; first && c.answered {
 		a.unlist(c)
-		c.since = now
+		c.since = time.Now()
 		c.place = a.waiting.PushBack(c)
 	}
 	c.headBytes += int64(n)
 	a.headBytes += int64(n)
 	limits = a.limits
 	tooLong = limits.Bytes > 0 && c.headBytes > int64(limits.Bytes+headSlack)
-	victims := a.headVictims(now)
+	victims := a.headVictims()
 	a.mu.Unlock()
 	for _, victim := range victims {
 		_ = victim.Conn.Close()
@@ -330,13 +333,13 @@
 
 // headVictims removes and returns the connections to close until all heads are within the
 // limit. The caller holds the lock.
-func (a *Acceptor) headVictims(now time.Time) []*conn {
+func (a *Acceptor) headVictims() []*conn {
 	var victims []*conn
 	for place := a.waiting.Front(); place != nil && a.maxHeadBytes > 0 && a.headBytes > a.maxHeadBytes; {
 		c := place.Value.(*conn)
 		place = place.Next()
 		if c.headBytes > 0 {
-			a.count(now, reasonHeads)
+			a.count(time.Now(), reasonHeads)
 			a.remove(c)
 			victims = append(victims, c)
 		}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -86,7 +86,10 @@
 	c.acceptor.mu.Lock()
 	within, timeout := c.headBytes > 0, c.acceptor.limits.Timeout
 	c.acceptor.mu.Unlock()
-	if latest := time.Now().Add(timeout); within && timeout > 0 && t.After(latest) {
+	if !within || timeout == 0 {
+		return c.Conn.SetReadDeadline(t)
+	}
+	if latest := time.Now().Add(timeout); t.After(latest) {
 		t = latest
 	}
 	return c.Conn.SetReadDeadline(t)
