controller: give the callers' endpoint its handler where the others have theirs

The dispatcher was wrapped as the endpoint's handler, and replaced by the pipeliner in front of it when the listener was prepared.

--- a/internal/controller/handlers.go
+++ b/internal/controller/handlers.go
@@ -32,7 +32,7 @@
 	metrics := flow.New()
 	metrics.HandleFunc("/metrics", c.serveMetrics, http.MethodGet)
 	return []endpoint{
-		{c.settings.DataAddress, c.dispatcher, callerShare},
+		{c.settings.DataAddress, c.pipeliner, callerShare},
 		{c.settings.ReadinessAddress, ready, readinessShare},
 		{c.settings.LookupAddress, lookup, lookupShare},
 		{c.settings.ControlAddress, control, controlShare},
--- a/internal/controller/pipelining.go
+++ b/internal/controller/pipelining.go
@@ -29,7 +29,6 @@
 // that it has to serve.
 func (c *Controller) acceptCallers(server *http.Server, accepted *acceptor.Acceptor) net.Listener {
 	c.callers = accepted
-	server.Handler = accepted.Handler(c.pipeliner)
 	server.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 		return c.pipeliner.ConnContext(accepted.ConnContext(ctx, nc), nc)
 	}
