--- a/internal/forwarder/reset_test.go
+++ b/internal/forwarder/reset_test.go
@@ -1,14 +1,12 @@
 package forwarder_test
 
 import (
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"magnoliahill.example/magnoliahill/internal/forwarder"
+	"magnoliahill.example/magnoliahill/internal/standin/target"
 )
 
 // Guards against a part of a response that is passed on as whole: the system reports a
@@ -18,26 +16,11 @@
 		uploads = 60
 		size    = 4 << 20
 	)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := target.ListenAndReset("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				_, _ = io.ReadFull(conn, make([]byte, 1000))
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello")
-				time.Sleep(5 * time.Millisecond)
-				_ = conn.(*net.TCPConn).SetLinger(0)
-			}()
-		}
-	}()
 	f := forwarder.New()
 	defer f.Close()
 	for range uploads {
