--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -25,7 +25,9 @@
 	conn       net.Conn
 	reader     *bufio.Reader
 	host       string
-	answered   int // on the present connection
+	answered   int    // on the present connection
+	body       []byte // of the last answer
+	stamp      string // of the last answer
 	addresses  []string
 	resolvedAt time.Time
 	ttl        time.Duration
@@ -117,10 +119,11 @@
 	_ = c.conn.SetReadDeadline(r.sentAt.Add(c.limit))
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: strings.Fields(r.what)[0]})
 	if err == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
+		c.body, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 	}
 	if err == nil {
+		c.stamp = resp.Header.Get("Magnoliahill-Response-Stamp")
 		c.answered++
 		return resp.StatusCode, fmt.Sprint(resp.StatusCode), resp.Close
 	}
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -27,6 +27,7 @@
 	"stall":    playStall,
 	"refused":  playRefused,
 	"pipeline": playPipeline,
+	"framing":  playFraming,
 }
 
 func main() {
--- a/review/rig-2/target.go
+++ b/review/rig-2/target.go
@@ -18,7 +18,8 @@
 	work    time.Duration
 	status  int
 	body    []byte
-	cutFrom int // bytes of the body that are sent before the connection is broken off; 0 for all
+	cutFrom int  // bytes of the body that are sent before the connection is broken off; 0 for all
+	old     bool // the answer is sent in chunks with the version HTTP/1.0
 }
 
 // target is a stand-in for a backend server. It runs every request that is meant for it
@@ -115,6 +116,12 @@
 		t.deployment.targetAnswered(id, fmt.Sprintf("%d, broken off", out.status), false)
 		return false
 	}
+	if out.old {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.0 %d %s\r\n%sMagnoliahill-Response-Stamp: %s.%s.%d.%d\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+			out.status, http.StatusText(out.status), echo, t.id, id, out.status, len(out.body), len(out.body), out.body)
+		t.deployment.targetAnswered(id, fmt.Sprintf("%d, HTTP/1.0 in chunks", out.status), false)
+		return false
+	}
 	_, err := io.WriteString(conn, head+string(out.body))
 	t.deployment.targetAnswered(id, fmt.Sprint(out.status), err == nil)
 	return err == nil
