Review case 6: the program asks for the descriptors that it needs

With few descriptors the clients of the script could not connect, and the case might pass for that reason alone. Nothing else changes in it.

Not seen here: this machine allows 20,000.

--- a/review/rig-2/limit.go
+++ b/review/rig-2/limit.go
@@ -6,7 +6,10 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Of the case "limit".
@@ -17,12 +20,18 @@
 	burstPause   = 6 * time.Second
 	bursts       = 4
 	lostAllowed  = 3 // by the rule, at one machine
+
+	minDescriptors = 8192 // of this process, for all clients and targets
 )
 
 // playLimit lets many users come at once, so that there are more connections than the
 // hosts accept, and counts the orders that a target has answered and whose client's kept
 // connection was closed without that answer.
 func playLimit(d *deployment) (bool, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < minDescriptors {
+		return false, errors.Errorf("the case needs %d descriptors", minDescriptors)
+	}
 	d.configure(map[string]any{"r-orders": route("/orders/", "unsafe", "orders", 6)}, "orders")
 	if err := d.addTargets("orders", 160, 9, func(*http.Request) reply {
 		return reply{work: time.Duration(1000+rand.IntN(320)) * time.Millisecond, status: http.StatusOK, body: []byte("order placed\n")}
