dispatcher: do not forward a backend server's 408, 421 or 429 as "not run"

Callers saw: an order that a backend server had run and answered with a 429 or 408 of its own reached them with that status.

Cause: what an attempt proves was decided in three places by different conditions. impliesNotRun listed the four statuses, but only afterFailure asked it; classify took every status below 500 for an answer, so that attempt returned the response at once, and recordAttempt did not count it as a run. The quarantine took it for proof that a suspected request does no harm, and the placer for a quick answer.

Ruled out: the round tripper, which returns proven refusals as errors, and the review's clients, which retry after promises alone.

Fix: newAttempt names the outcome of an attempt once (not run, answered, unknown); retries, refusals, placer, quarantine and log ask for it. Such a response is an unproven refusal: the caller gets a 502, an idempotent request may go to another server within the retry budget, and no later refusal of the request says "not run".

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -56,7 +56,8 @@
 	sentAttempts  int      // attempts that may have reached a backend server
 	lastPick      placer.Pick
 	attemptLog    string          // results of the attempts, for the request's log line
-	mayHaveRun    bool            // an attempt ended without proof that the request was not executed
+	mayHaveRun    bool            // the outcome of an attempt is unknown
+	unproven      int             // status of the last unproven refusal; 0 if there was none
 	bodyBytes     int64           // reserved for the body
 	responseBytes int64           // reserved for the bodies of responses
 	relayedBy     string          // host that relayed the request to this one; "" if the caller sent it
@@ -186,19 +187,20 @@
 	}
 	c.lastPick = pick
 	c.triedIDs = append(c.triedIDs, pick.ID())
-	resp, err := c.dispatcher.roundTripper.RoundTrip(ctx, roundtripper.Target{Address: pick.Address(), Instance: pick.ID()}, c.outgoingRequest(pick, left))
-	outcome, load := c.classify(ctx, resp, err)
-	load.Bytes = exchangedBytes(c.r.ContentLength, resp)
+	ended := newAttempt(c.dispatcher.roundTripper.RoundTrip(ctx, roundtripper.Target{Address: pick.Address(), Instance: pick.ID()}, c.outgoingRequest(pick, left)))
+	load := c.reportedLoad(ended)
+	load.Bytes = exchangedBytes(c.r.ContentLength, ended.resp)
 	c.logPause(pick, load)
-	c.dispatcher.placer.Done(c.dispatcher.clock.Now(), pick, outcome, load)
-	c.recordAttempt(pick, resp, err)
-	c.reportToQuarantine(ctx, pick, resp, err)
-	c.reportReach(ctx, pick, err)
-	if outcome == placer.Answered {
+	c.dispatcher.placer.Done(c.dispatcher.clock.Now(), pick, c.placerOutcome(ctx, ended), load)
+	c.observe(ended)
+	c.recordAttempt(pick, ended)
+	c.reportToQuarantine(ctx, pick, ended)
+	c.reportReach(ctx, pick, ended.err)
+	if ended.outcome == answered {
 		c.sentAttempts++
-		return resp, nil, false
+		return ended.resp, nil, false
 	}
-	return c.afterFailure(ctx, resp, err)
+	return c.afterFailure(ctx, ended)
 }
 
 // query describes the request to the placer.
@@ -252,27 +254,6 @@
 	}
 }
 
-// classify returns the outcome of an attempt and the load that the backend server
-// reported, for the placer.
-func (c *call) classify(ctx context.Context, resp *roundtripper.Response, err error) (placer.Outcome, placer.Load) {
-	var shed *roundtripper.ShedError
-	switch {
-	case err == nil && resp.Status >= http.StatusInternalServerError:
-		return placer.Failed, c.reportedLoad(resp.Status, resp.Header)
-	case err == nil:
-		return placer.Answered, c.reportedLoad(resp.Status, resp.Header)
-	case errors.As(err, &shed):
-		return placer.Shed, c.reportedLoad(shed.Status(), shed.Header())
-	case errors.Is(err, roundtripper.ErrMisdirected):
-		return placer.Misdirected, placer.Load{}
-	case c.r.Context().Err() != nil:
-		return placer.Canceled, placer.Load{}
-	case errors.Is(err, roundtripper.ErrUnreachable) && ctx.Err() == nil:
-		return placer.Unreachable, placer.Load{}
-	}
-	return placer.Failed, placer.Load{}
-}
-
 // exchangedBytes returns the bytes of the bodies of a request and its response, without
 // those whose length is unknown.
 func exchangedBytes(requestLength int64, resp *roundtripper.Response) int64 {
@@ -293,10 +274,19 @@
 	c.dispatcher.scope.Counter("backend_server_pauses").Inc(1)
 }
 
-// reportedLoad decodes what a backend server reports of itself in the headers of a
-// response with a status.
-func (c *call) reportedLoad(status int, headers http.Header) placer.Load {
-	load := c.dispatcher.codec.DecodeReport(status, headers)
+// reportedLoad decodes what a backend server reports of itself in the headers of its
+// response, whatever that response says of the request.
+func (c *call) reportedLoad(a *attempt) placer.Load {
+	var shed *roundtripper.ShedError
+	var load placer.Load
+	switch {
+	case a.resp != nil:
+		load = c.dispatcher.codec.DecodeReport(a.resp.Status, a.resp.Header)
+	case errors.As(a.err, &shed):
+		load = c.dispatcher.codec.DecodeReport(shed.Status(), shed.Header())
+	default:
+		return placer.Load{}
+	}
 	if !load.Limit.Known {
 		c.dispatcher.scope.Counter("request_limits_malformed").Inc(1)
 	}
@@ -305,43 +295,29 @@
 
 // afterFailure decides after a failed attempt whether to retry, to forward the
 // backend server's error response, or to refuse the request.
-func (c *call) afterFailure(ctx context.Context, resp *roundtripper.Response, err error) (*roundtripper.Response, *admitter.Refusal, bool) {
-	unreachable := errors.Is(err, roundtripper.ErrUnreachable)
-	notRun := unreachable || errors.Is(err, forwarder.ErrShed) || errors.Is(err, roundtripper.ErrMisdirected)
-	if !unreachable {
+func (c *call) afterFailure(ctx context.Context, failed *attempt) (*roundtripper.Response, *admitter.Refusal, bool) {
+	if !failed.unreachable() {
 		c.sentAttempts++
 	}
 	switch {
 	case ctx.Err() != nil:
+		failed.discard()
 		return nil, c.timedOutOrCanceled(ctx), false
-	case (notRun || c.route.Idempotent()) && c.mayRetry(unreachable):
-		if resp != nil && resp.Rest != nil {
-			_ = resp.Rest.Close()
-		}
+	case (failed.outcome == notRun || c.route.Idempotent()) && c.mayRetry(failed.unreachable()):
+		failed.discard()
 		c.awaitAttribution(ctx)
 		return nil, nil, true
-	case resp != nil && !c.impliesNotRun(resp.Status):
-		return resp, nil, false
-	case unreachable && !c.mayHaveRun && !c.reaches(c.dispatcher.clock.Now()):
-		return nil, unavailable(header.ReasonCutOff, "neither this host nor another one reaches a backend server of the service", c.retryAfter(0)), false
-	case notRun && !c.mayHaveRun:
-		return nil, unavailable(header.ReasonShed, "the backend servers have no room", c.retryAfter(0)), false
+	case failed.forwardable():
+		return failed.resp, nil, false
 	}
-	if resp != nil && resp.Rest != nil {
-		_ = resp.Rest.Close()
+	failed.discard()
+	switch {
+	case c.mayHaveRun:
+		return nil, c.outcomeUnknown(), false
+	case failed.unreachable() && !c.reaches(c.dispatcher.clock.Now()):
+		return nil, unavailable(header.ReasonCutOff, "neither this host nor another one reaches a backend server of the service", c.retryAfter(0)), false
 	}
-	return nil, admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonConnectionBroken, "the backend server's answer is broken or missing"), false
-}
-
-// impliesNotRun reports whether callers take a status to mean that the request
-// was not executed. A backend server's own error response with such a status
-// proves no such thing, so it is not forwarded.
-func (c *call) impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
+	return nil, unavailable(header.ReasonShed, "the backend servers have no room", c.retryAfter(0)), false
 }
 
 // mayRetry reports whether the request may be sent to another backend server, and ends
@@ -370,7 +346,7 @@
 // backend server.
 func (c *call) noServerChosen(verdict placer.Verdict, wait time.Duration) *admitter.Refusal {
 	if c.mayHaveRun {
-		return admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonConnectionBroken, "the backend server's answer is broken or missing")
+		return c.outcomeUnknown()
 	}
 	if verdict == placer.NoRoom {
 		return unavailable(header.ReasonQueueFull, "no backend server would answer in time", c.retryAfter(wait))
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -59,7 +58,7 @@
 // quarantined returns the refusal of a quarantined request.
 func (c *call) quarantined() *admitter.Refusal {
 	if c.mayHaveRun {
-		return admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonConnectionBroken, "the backend server's answer is broken or missing")
+		return c.outcomeUnknown()
 	}
 	retryAfter := max(c.dispatcher.quarantine.RetryAfter(c.dispatcher.clock.Now(), c.digest()), minRetryAfter)
 	return unavailable(header.ReasonQuarantined, "backend servers crashed while they ran this request", retryAfter)
@@ -74,14 +73,14 @@
 
 // reportToQuarantine reports the end of an attempt. If the connection broke, it starts
 // to find out whether the backend server crashed.
-func (c *call) reportToQuarantine(ctx context.Context, pick placer.Pick, resp *roundtripper.Response, err error) {
+func (c *call) reportToQuarantine(ctx context.Context, pick placer.Pick, ended *attempt) {
 	d := c.dispatcher
 	c.attributed = nil
 	// A failing server may respond with an error before it runs the request.
-	if resp != nil && resp.Status < http.StatusInternalServerError && resp.Header.Get(d.headerNames.ResponseStamp) != "" && !d.quarantine.Empty() {
+	if ended.outcome == answered && ended.resp.Header.Get(d.headerNames.ResponseStamp) != "" && !d.quarantine.Empty() {
 		d.quarantine.Answered(d.clock.Now(), c.digest())
 	}
-	if !errors.Is(err, roundtripper.ErrBadResponse) || ctx.Err() != nil {
+	if !errors.Is(ended.err, roundtripper.ErrBadResponse) || ctx.Err() != nil {
 		c.leaveQuarantine()
 		return
 	}
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"magnoliahill.example/magnoliahill/internal/admitter"
@@ -29,25 +28,13 @@
 )
 
 // recordAttempt appends the result of an attempt to the attempt log, in the form
-// "instance:result:duration", followed by the error if the result is unknown or the
+// "instance:result:duration", followed by the cause if the result is unknown or the
 // backend server was not reached.
-func (c *call) recordAttempt(pick placer.Pick, resp *roundtripper.Response, err error) {
-	result := attemptUnknown
-	switch {
-	case err == nil && resp.Status < http.StatusInternalServerError:
-		result = attemptAnswered
-	case errors.Is(err, forwarder.ErrShed):
-		result = attemptShed
-	case errors.Is(err, roundtripper.ErrMisdirected):
-		result = attemptOtherInstance
-	case errors.Is(err, roundtripper.ErrUnreachable):
-		result = attemptUnreachable
-	}
-	c.mayHaveRun = c.mayHaveRun || result == attemptUnknown
+func (c *call) recordAttempt(pick placer.Pick, ended *attempt) {
 	took := c.dispatcher.clock.Now() - pick.StartedAt()
-	text := pick.ID() + ":" + result + ":" + strconv.FormatInt(took.Milliseconds(), 10) + "ms"
-	if err != nil && (result == attemptUnknown || result == attemptUnreachable) {
-		text += ":" + err.Error()
+	text := pick.ID() + ":" + ended.result() + ":" + strconv.FormatInt(took.Milliseconds(), 10) + "ms"
+	if cause := ended.cause(); cause != "" {
+		text += ":" + cause
 	}
 	c.logAttempt(text)
 }
--- a/internal/dispatcher/stopping.go
+++ b/internal/dispatcher/stopping.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"net/http"
 	"time"
 
 	"magnoliahill.example/magnoliahill/internal/admitter"
@@ -32,7 +31,7 @@
 		return nil
 	}
 	if c.mayHaveRun {
-		return admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonConnectionBroken, "the backend server's answer is broken or missing")
+		return c.outcomeUnknown()
 	}
 	return unavailable(header.ReasonStopping, "the host is stopping, use another", stoppingRetryAfter)
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -72,10 +72,11 @@
 	crashing      crashing
 	plannedFaults []Fault // of the next responses, in order
 	runs          []Execution
-	unexecuted    []string // bodies, or their beginnings, that were read before and after early responses
-	rawResponse   string   // what the fault RawResponse writes
-	extraHeaders  string   // of all responses but misdirected ones; each header ends with a line break
-	requests      int      // received, executed or not
+	unexecuted    []string      // bodies, or their beginnings, that were read before and after early responses
+	rawResponse   string        // what the fault RawResponse writes
+	held          chan struct{} // closed when responses are released; nil if none are held
+	extraHeaders  string        // of all responses but misdirected ones; each header ends with a line break
+	requests      int           // received, executed or not
 	connections   int
 	open          map[net.Conn]bool
 	forgotten     map[net.Conn]bool // connections that are reset at their next request
@@ -261,6 +262,9 @@
 	case EarlyShed:
 		return t.respondEarly(conn, r, 0, t.formatShed(id))
 	}
+	if status := parseStatusFault(fault); status.early {
+		return t.respondEarly(conn, r, 0, t.formatStatus(status, id))
+	}
 	if fault == ResetMidway {
 		_, _ = io.CopyN(io.Discard, r.Body, 100)
 		if tcp, ok := conn.(*net.TCPConn); ok {
@@ -284,6 +288,10 @@
 	if fault == Shed {
 		return t.write(conn, t.formatShed(id))
 	}
+	status := parseStatusFault(fault)
+	if status.notRun {
+		return t.write(conn, t.formatStatus(status, id))
+	}
 	t.mu.Lock()
 	t.runs = append(t.runs, Execution{Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: string(body), Header: r.Header})
 	t.mu.Unlock()
@@ -291,6 +299,10 @@
 		return false
 	}
 	time.Sleep(t.serviceTime)
+	t.awaitRelease()
+	if status.text != "" {
+		return t.write(conn, t.formatStatus(status, id))
+	}
 	return t.sendResponse(conn, fault, id, "answer to "+id)
 }
 
--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -59,6 +59,7 @@
 	ReasonCanceled            = "canceled"
 	ReasonConnectionBroken    = "connection-broken"
 	ReasonStaleAnswer         = "stale-answer"
+	ReasonUnprovenRefusal     = "unproven-refusal" // a backend server's status implies that it did not run the request, and nothing proves it
 	ReasonShed                = "backend-server-shed"
 	ReasonQuarantined         = "quarantined"  // the request crashed backend servers
 	ReasonCutOff              = "host-cut-off" // the host reaches no backend server of the service
