dispatcher: take no status of another host for "not run" without proof

Builds run side by side while hosts are replaced.

Cause: relayAttempt handed on every signed response, and gave its refusal of an unknown outcome the status of an unsigned one. Both read the status anew in place of asking what the attempt proves.

Evidence: a stand-in for the other host answers the four statuses, signed, unsigned and as not run, and other errors. Ruled out: the not-run header of a relayed refusal, which hosts write for refusals as not run alone.

Fix: newRelayAttempt names the outcome with the function for backend servers; an unsigned response proves nothing. A refusal of an unknown outcome keeps the other host's status only if that is an error that promises nothing, and a refusal as not run is an error in any case.

--- a/internal/dispatcher/outcome.go
+++ b/internal/dispatcher/outcome.go
@@ -137,7 +137,7 @@
 func (c *call) outcomeUnknown() *admitter.Refusal {
 	if c.unproven != 0 {
 		return admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonUnprovenRefusal,
-			"the backend server answered with status "+strconv.Itoa(c.unproven)+" without saying that it did not run the request")
+			"the answer had status "+strconv.Itoa(c.unproven)+" without proof that no backend server ran the request")
 	}
 	return admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonConnectionBroken, "the backend server's answer is broken or missing")
 }
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -77,7 +77,7 @@
 	d := c.dispatcher
 	c.attributed = nil
 	// A failing server may respond with an error before it runs the request.
-	if ended.outcome == answered && ended.resp.Header.Get(d.headerNames.ResponseStamp) != "" && !d.quarantine.Empty() {
+	if ended.outcome == answered && c.signed(ended.resp) && !d.quarantine.Empty() {
 		d.quarantine.Answered(d.clock.Now(), c.digest())
 	}
 	if !errors.Is(ended.err, roundtripper.ErrBadResponse) || ctx.Err() != nil {
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -41,32 +41,51 @@
 	c.triedRelays = append(c.triedRelays, target.Instance)
 	startedAt := c.dispatcher.clock.Now()
 	attempts := c.maxAttempts - c.sentAttempts
-	resp, err := c.dispatcher.relays.RoundTrip(ctx, target, c.relayRequest(left, attempts))
-	c.recordRelay(target, startedAt, resp, err)
+	ended := c.newRelayAttempt(c.dispatcher.relays.RoundTrip(ctx, target, c.relayRequest(left, attempts)))
+	c.observe(ended)
+	c.recordRelay(target, startedAt, ended)
 	var shed *roundtripper.ShedError
 	switch {
-	case err == nil && resp.Header.Get(c.dispatcher.headerNames.ResponseStamp) != "":
-		c.sentAttempts += attempts
-		return resp, nil, false
-	case errors.As(err, &shed):
+	case errors.As(ended.err, &shed):
 		return c.afterRelayRefusal(shed)
-	case errors.Is(err, roundtripper.ErrUnreachable) && ctx.Err() == nil:
+	case ended.unreachable() && ctx.Err() != nil:
+		return nil, c.timedOutOrCanceled(ctx), false
+	case ended.unreachable():
 		return nil, nil, true
 	}
-	if !errors.Is(err, roundtripper.ErrUnreachable) {
-		c.sentAttempts += attempts // the other host may have used all of them
-		c.mayHaveRun = true
+	c.sentAttempts += attempts // the other host may have used all of them
+	if c.signed(ended.resp) && ended.forwardable() {
+		return ended.resp, nil, false
 	}
+	ended.discard()
 	switch {
 	case ctx.Err() != nil:
 		return nil, c.timedOutOrCanceled(ctx), false
-	case err == nil:
-		if resp.Rest != nil {
-			_ = resp.Rest.Close()
-		}
-		return nil, admitter.RefuseUnknown(resp.Status, relayedReason(resp.Header), "the host that the request was relayed to got no answer"), false
+	case ended.err != nil:
+		return nil, admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonConnectionBroken, "the connection to the host that the request was relayed to is broken"), false
+	case ended.unprovenRefusal():
+		return nil, c.outcomeUnknown(), false
+	}
+	status := ended.resp.Status
+	if status < http.StatusBadRequest {
+		status = http.StatusBadGateway
+	}
+	return nil, admitter.RefuseUnknown(status, relayedReason(ended.resp.Header), "the host that the request was relayed to got no answer"), false
+}
+
+// newRelayAttempt names the outcome of an attempt at another host. Its word is proof of
+// nothing but a refusal with the not-run header; without a signature a response is its own.
+func (c *call) newRelayAttempt(resp *roundtripper.Response, err error) *attempt {
+	a := newAttempt(resp, err)
+	if a.misdirected() || a.outcome == answered && !c.signed(resp) {
+		a.outcome = unknown
 	}
-	return nil, admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonConnectionBroken, "the connection to the host that the request was relayed to is broken"), false
+	return a
+}
+
+// signed reports whether a response has the signature of a backend server.
+func (c *call) signed(resp *roundtripper.Response) bool {
+	return resp != nil && resp.Header.Get(c.dispatcher.headerNames.ResponseStamp) != ""
 }
 
 // afterRelayRefusal decides after another host refused the request as not run whether to
@@ -80,13 +99,17 @@
 		}
 	}
 	if c.mayHaveRun {
-		return nil, admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonConnectionBroken, "the backend server's answer is broken or missing"), false
+		return nil, c.outcomeUnknown(), false
 	}
 	retryAfter, err := strconv.ParseInt(shed.Header().Get(header.RelayRetryAfter), 10, 64)
 	if err != nil {
 		retryAfter = 0 // a retry does not help
 	}
-	return nil, admitter.RefuseNotRun(shed.Status(), reason, "the host that the request was relayed to refused it", time.Duration(retryAfter)*time.Millisecond), false
+	status := shed.Status()
+	if status < http.StatusBadRequest {
+		status = http.StatusServiceUnavailable
+	}
+	return nil, admitter.RefuseNotRun(status, reason, "the host that the request was relayed to refused it", time.Duration(retryAfter)*time.Millisecond), false
 }
 
 // relayedReason returns the reason of a refusal of another host.
@@ -108,12 +131,15 @@
 }
 
 // recordRelay appends the result of relaying the request to the attempt log.
-func (c *call) recordRelay(target roundtripper.Target, startedAt time.Duration, resp *roundtripper.Response, err error) {
+func (c *call) recordRelay(target roundtripper.Target, startedAt time.Duration, ended *attempt) {
 	result := attemptRelayed
-	if err != nil {
-		result = err.Error()
-	} else if reason := resp.Header.Get(header.Reason); reason != "" {
-		result = reason
+	switch {
+	case ended.err != nil:
+		result = ended.err.Error()
+	case ended.unprovenRefusal():
+		result = ended.cause()
+	case ended.resp.Header.Get(header.Reason) != "":
+		result = ended.resp.Header.Get(header.Reason)
 	}
 	c.logAttempt(target.Instance + ":" + result + ":" + strconv.FormatInt((c.dispatcher.clock.Now()-startedAt).Milliseconds(), 10) + "ms")
 	c.dispatcher.scope.Counter("requests_relayed").Inc(1)
--- a/internal/dispatcher/relay_test.go
+++ b/internal/dispatcher/relay_test.go
@@ -208,3 +208,53 @@
 	is.Equal(p.near.send(http.MethodGet, "/far/", "id-2", "").status, http.StatusOK)
 	is.Equal(len(p.far.backends[1].Executions()), 1)
 }
+
+// relayResponseCase is one case of the data file.
+type relayResponseCase struct {
+	Name    string
+	Method  string
+	Path    string
+	Fault   string // of the other host's response
+	Except  []int  // statuses for which the case is not played
+	Same    bool   // the caller gets the status that the other host answered
+	Status  int
+	Reason  string
+	Stamped bool
+	Refused bool // by a status that implies that the request was not executed
+}
+
+func (c *relayResponseCase) play(t *testing.T, status int) {
+	is := is.New(t)
+	other, err := target.Start("other", headerNames)
+	is.NoErr(err)
+	t.Cleanup(other.Close)
+	other.QueueFaults(target.Fault(strings.ReplaceAll(c.Fault, "STATUS", fmt.Sprint("status ", status))))
+	p := newRelayPair(t, 1, false)
+	p.relays.addresses = []string{other.Address()}
+	got := p.near.send(c.Method, c.Path, "id-1", "brooms")
+	if c.Same {
+		c.Status = status
+	}
+	is.Equal(got.status, c.Status)
+	is.Equal(got.header.Get(header.Reason), c.Reason)
+	is.Equal(got.header.Get(headerNames.ResponseStamp) != "", c.Stamped)
+	is.Equal(impliesNotRun(got.status), c.Refused)
+}
+
+// Guards against orders that are executed twice because another host, perhaps of an older
+// build, forwarded a backend server's 408, 421, 429 or 503 without proof.
+func TestRelayedStatusesThatImplyNotRunAreNotForwardedWithoutProof(t *testing.T) {
+	var cases []relayResponseCase
+	readCases(t, "relay-responses.yaml", &cases)
+	for _, c := range cases {
+		statuses := notRunStatuses
+		if !strings.Contains(c.Fault, "STATUS") {
+			statuses = []int{0}
+		}
+		for _, status := range statuses {
+			if !slices.Contains(c.Except, status) {
+				t.Run(fmt.Sprint(c.Name, " ", status), func(t *testing.T) { c.play(t, status) })
+			}
+		}
+	}
+}
