server: do not refuse a repeated request as "not run"

Cause: the request's chart took a repetition for a proof. Both fired "not-run", which leads back to "admitted", from where a refusal is legal.

Evidence: TestRequestThatMayHaveRunIsNotRefusedAsNotRun, one server that breaks off and then turns requests away, or a second one that does: "not-run backend-server-shed" in both cases before. Ruled out: the platform's program, whose refusals all ask mayHaveRun.

Fix: the trigger "repeat" leads to states of its own, from which a request cannot be refused. Such a refusal becomes one of an unknown outcome: 502, or 504 at the time limit.

--- a/internal/server/call.go
+++ b/internal/server/call.go
@@ -35,6 +35,7 @@
 	pool        *pool
 	body        *forwarder.Body
 	attempted   []string
+	mayHaveRun  bool          // an attempt was repeated although the request may have run
 	queueTime   time.Duration // time spent waiting for a slot
 }
 
@@ -73,7 +74,12 @@
 	timer := time.AfterFunc(timeLimit, cancel)
 	defer timer.Stop()
 	c.pool.retries.Earn()
-	return c.sendWithRetries(ctx, timer, timeLimit, min(timeLimit, service.QueueTimeout()))
+	refusal = c.sendWithRetries(ctx, timer, timeLimit, min(timeLimit, service.QueueTimeout()))
+	if refusal != nil && refusal.Outcome() == header.OutcomeNotRun && c.mayHaveRun {
+		c.fire("break")
+		return c.unknownRefusal(ctx, nil)
+	}
+	return refusal
 }
 
 // sendWithRetries makes attempts until a backend server responds or no further
@@ -179,10 +185,16 @@
 		}
 		return c.notRunRefusal(ctx, err)
 	case retryable && idempotent(c.r.Method) && c.pool.retries.Spend():
-		c.fire("not-run")
+		c.mayHaveRun = true
+		c.fire("repeat")
 		return nil
 	}
 	c.fire("break")
+	return c.unknownRefusal(ctx, err)
+}
+
+// unknownRefusal returns the refusal of a request that a backend server may have run.
+func (c *call) unknownRefusal(ctx context.Context, err error) *admitter.Refusal {
 	switch {
 	case c.r.Context().Err() != nil:
 		return admitter.RefuseUnknown(http.StatusServiceUnavailable, header.ReasonCanceled, "the caller went away")
--- a/internal/server/outcome_test.go
+++ b/internal/server/outcome_test.go
@@ -228,3 +228,35 @@
 	is.Equal(line, "last\n")
 	is.NoErr(<-h.done)
 }
+
+// Guards against refusals that say "not run" of a request whose first attempt may have run.
+func TestRequestThatMayHaveRunIsNotRefusedAsNotRun(t *testing.T) {
+	shed := func(w http.ResponseWriter) {
+		w.Header().Set(header.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	for name, backends := range map[string]int{"another server is full": 2, "the same server is full": 1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var attempts atomic.Int64
+			handler := func(w http.ResponseWriter, _ *http.Request) {
+				if attempts.Add(1) == 1 {
+					panic(http.ErrAbortHandler)
+				}
+				shed(w)
+			}
+			var addresses []string
+			for range backends {
+				addresses = append(addresses, startBackend(t, handler))
+			}
+			h := startHost(t, "retry-budget: 1\n"+backendServers, addresses...)
+			resp, err := h.call(http.MethodPut, "/order", "brooms")
+			is.NoErr(err)
+			is.Equal(attempts.Load(), int64(2))
+			is.Equal(outcome(resp), "unknown connection-broken")
+			is.Equal(resp.StatusCode, http.StatusBadGateway)
+			is.Equal(resp.Header.Get("Retry-After"), "")
+			is.Equal(h.server.InvariantViolations(), int64(0))
+		})
+	}
+}
