server: refuse an order of a caller that only reads with 502, not 503

The outcome header says "unknown", but clients that know HTTP alone take 503 for "not run" and send it again.

Cause: the host takes the end of the caller's side for a caller that has left, and the refusal for that had the status of refusals that are not run.

Evidence: TestCallerThatOnlyReadsIsNotToldThatItsOrderWasNotRun got 503 and "unknown canceled". Ruled out: refusals before the request is sent, which are not run and keep 503.

Fix: the refusal has status 502, as the platform's program has it, so that no unknown outcome has a status that promises "not run". docs/operating says that the outcome holds and not the status; TestOwnStatusOfABackendServerIsAnAnswer, which passed before, holds it for the four statuses.

After: the package passes with the race detector.

--- a/internal/server/call.go
+++ b/internal/server/call.go
@@ -197,7 +197,7 @@
 func (c *call) unknownRefusal(ctx context.Context, err error) *admitter.Refusal {
 	switch {
 	case c.r.Context().Err() != nil:
-		return admitter.RefuseUnknown(http.StatusServiceUnavailable, header.ReasonCanceled, "the caller went away")
+		return admitter.RefuseUnknown(http.StatusBadGateway, header.ReasonCanceled, "the caller went away")
 	case ctx.Err() != nil:
 		return admitter.RefuseUnknown(http.StatusGatewayTimeout, header.ReasonDeadline, "no answer within the time limit")
 	case errors.Is(err, forwarder.ErrMismatched):
--- a/internal/server/outcome_test.go
+++ b/internal/server/outcome_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -260,3 +262,44 @@
 		})
 	}
 }
+
+// Guards against a 503, which callers take for "not run", when the caller has closed its side
+// of the connection while a backend server runs the request.
+func TestCallerThatOnlyReadsIsNotToldThatItsOrderWasNotRun(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{})
+	h := startHost(t, backendServers, startBackend(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(started)
+		<-r.Context().Done()
+	}))
+	conn, err := net.Dial("tcp", h.dataAddress)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /order HTTP/1.1\r\nHost: orders\r\nMagnoliahill-Key: %s\r\nContent-Length: 6\r\n\r\nbrooms", testKey)
+	is.NoErr(err)
+	<-started
+	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(outcome(resp), "unknown canceled")
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+}
+
+// The outcome says whether a request has run, and not the status: a backend server's own
+// 408, 421, 429 or 503 is its answer.
+func TestOwnStatusOfABackendServerIsAnAnswer(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			is := is.New(t)
+			h := startHost(t, backendServers, startBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(header.Outcome, header.OutcomeNotRun) // a backend server cannot say so in this way
+				w.WriteHeader(status)
+			}))
+			resp, err := h.call(http.MethodPost, "/order", "brooms")
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, status)
+			is.Equal(outcome(resp), "answered ")
+		})
+	}
+}
