verifier: reject HTTP/1.0 responses with a Transfer-Encoding

Cause: HTTP/1.0 has no chunks, and RFC 9112, 6.1, calls the framing of such a message faulty. The HTTP library ignores the field in that version and removes it from the head that it returns, so that CheckHead could not see it.

Ruled out: rejecting HTTP/1.0 as such, since it is a valid answer without the field, and heads read anew by a parser of our own.

Fix: HeadScanner looks at the bytes before the library does and fails the read in front of the field. The round tripper scans each head, also one that came with a skipped response; connections of verifier.Dial, which the forwarder now uses too, scan the first bytes after a request.

--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -33,12 +33,6 @@
 	return c.Conn.Write(p)
 }
 
-// Read implements io.Reader.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	return n, verifier.ReadError(c.Conn, err)
-}
-
 // mark returns the number of bytes written so far, for a later call of seal.
 func (c *conn) mark() int64 {
 	c.mu.Lock()
@@ -57,8 +51,9 @@
 
 // dialContext returns a DialContext function that wraps connections in a conn.
 func dialContext(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dial := verifier.Dial(d.DialContext)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		raw, err := d.DialContext(ctx, network, address)
+		raw, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/roundtripper/conn.go
+++ b/internal/roundtripper/conn.go
@@ -110,6 +110,7 @@
 	conn     net.Conn
 	left     int // bytes that may still be read; unlimited outside of heads
 	received int // bytes read since the current request was sent
+	scanner  verifier.HeadScanner
 }
 
 const unlimited = -1
@@ -127,9 +128,24 @@
 	if l.left != unlimited {
 		l.left -= n
 	}
+	if n, invalid := l.scanner.Scan(p[:n]); invalid != nil {
+		return n, invalid
+	}
 	return n, verifier.ReadError(l.conn, err)
 }
 
+// expectHead makes the scanner expect the head of a response, the beginning of which may have
+// been read together with what came before it.
+func (c *persistConn) expectHead() error {
+	c.limiter.scanner.Expect()
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	_, err = c.limiter.scanner.Scan(buffered)
+	return err
+}
+
 // usable reports whether the connection is open and has no unread bytes. Bytes
 // that arrived while it was idle belong to no request.
 func (c *persistConn) usable() bool {
--- a/internal/roundtripper/head.go
+++ b/internal/roundtripper/head.go
@@ -20,7 +20,11 @@
 	x.conn.limiter.left = maxHeadBytes
 	defer func() { x.conn.limiter.left = unlimited }()
 	for interim := 0; interim <= maxInterim; {
-		resp, err := http.ReadResponse(x.conn.reader, methodOnly)
+		err := x.conn.expectHead()
+		var resp *http.Response
+		if err == nil {
+			resp, err = http.ReadResponse(x.conn.reader, methodOnly)
+		}
 		if err == nil {
 			err = verifier.CheckHead(resp)
 		}
--- a/internal/roundtripper/invalid_test.go
+++ b/internal/roundtripper/invalid_test.go
@@ -43,3 +43,17 @@
 		})
 	}
 }
+
+// Guards against the same behind a response to another request, with which it is read.
+func TestInvalidHeadBehindASkippedResponse(t *testing.T) {
+	is := is.New(t)
+	skipped := "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nno"
+	address, _ := script{texts: []string{skipped + "HTTP/1.0 200 OK\r\nX-Id: b\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}}.serve(t)
+	rt := roundtripper.New(headerNames, 10)
+	defer rt.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second) // the body would not end
+	defer cancel()
+	_, err := rt.RoundTrip(ctx, roundtripper.Target{Address: address, Instance: "i-1"}, newRequest(http.MethodPost, "b"))
+	is.True(errors.Is(err, roundtripper.ErrBadResponse))
+	is.NoErr(ctx.Err())
+}
--- a/internal/verifier/conn.go
+++ b/internal/verifier/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -57,13 +58,33 @@
 	return err
 }
 
-// Conn is a connection whose reads return io.EOF only if the other side has not reset it, as
-// far as that is known.
-type Conn struct{ net.Conn }
+// Conn is a connection of an HTTP client. Its reads return io.EOF only if the other side has
+// not reset it, as far as that is known, and ErrInvalid in a head whose framing is faulty.
+type Conn struct {
+	net.Conn
+	scanner HeadScanner // of the reader
+	wrote   atomic.Bool // since the reader last looked
+	invalid error       // of the reader; nothing is read after it
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.wrote.Store(true)
+	return c.Conn.Write(p)
+}
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.invalid != nil {
+		return 0, c.invalid
+	}
 	n, err := c.Conn.Read(p)
+	if c.wrote.Swap(false) && c.scanner.Ended() {
+		c.scanner.Expect()
+	}
+	if n, c.invalid = c.scanner.Scan(p[:n]); c.invalid != nil {
+		return n, c.invalid
+	}
 	return n, ReadError(c.Conn, err)
 }
 
--- a/internal/verifier/verifier_test.go
+++ b/internal/verifier/verifier_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -44,7 +45,7 @@
 // use this transport.
 func TestClientGetsNoInvalidResponse(t *testing.T) {
 	for _, c := range responses(t) {
-		if c.Library || strings.Contains(c.Text, "chunked") {
+		if c.Library || strings.Contains(c.Name, "trailer") {
 			continue // heads of interim responses and trailers never reach these clients
 		}
 		t.Run(c.Name, func(t *testing.T) {
@@ -57,7 +58,7 @@
 				}
 			}))
 			defer server.Close()
-			client := &http.Client{Transport: verifier.Transport(&http.Transport{})}
+			client := &http.Client{Transport: verifier.Transport(&http.Transport{DialContext: verifier.Dial((&net.Dialer{}).DialContext)})}
 			defer client.CloseIdleConnections()
 			resp, err := client.Get(server.URL)
 			if err == nil {
@@ -88,6 +89,10 @@
 		return
 	}
 	head, _, _ := strings.Cut(strings.ReplaceAll(string(data), "\r\n", "\n"), "\n\n")
+	var scanner verifier.HeadScanner
+	if _, err := scanner.Scan(data); err == nil && resp.StatusCode >= http.StatusOK && !resp.ProtoAtLeast(1, 1) {
+		checkNoEncoding(t, head)
+	}
 	for i, line := range strings.Split(head, "\n") {
 		line = strings.TrimRight(line, " \t\r")
 		switch {
@@ -100,6 +105,19 @@
 	}
 }
 
+// checkNoEncoding checks that a head of HTTP/1.0 has no Transfer-Encoding.
+func checkNoEncoding(t *testing.T, head string) {
+	t.Helper()
+	for _, line := range strings.Split(head, "\n") {
+		if strings.Trim(line, " \t\r") == "" {
+			return
+		}
+		if strings.HasPrefix(strings.ToLower(line), "transfer-encoding:") {
+			t.Fatalf("%q is taken for a response in spite of its encoding", head)
+		}
+	}
+}
+
 // FuzzHead guards against heads that the protocol does not allow.
 func FuzzHead(f *testing.F) {
 	for _, c := range responses(f) {
