acceptor: take a connection for idle when its response is written

Cause: the acceptor listed a connection as idle when the handler returned. The server writes a short response after that. At the limit a new connection closes the one that was idle the longest, which is this one if all others are in use.

Evidence: on net.Pipe the write waits for the client, and a new connection closed the answered one. Also found: a connection with a part of the next request read ahead was closed as idle, and bytes that a read returned while its connection was being closed went on to the server.

Fix: http.Server.ConnState tells when the server waits for the next request. A connection with bytes read ahead counts as one whose head is under way. Reads of a connection that the acceptor has closed return net.ErrClosed. Ruled out: listing it after a flush by the handler, which an HTTP/1.0 or chunked response still follows with its end.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -39,8 +39,8 @@
 	reasonHeads   reason = "heads"   // request heads take too much memory
 )
 
-// Acceptor is the listener of one server. The server's Handler and ConnContext must be those
-// of the Acceptor, or call them.
+// Acceptor is the listener of one server. The server's Handler, ConnContext and ConnState must
+// be those of the Acceptor, or call them.
 type Acceptor struct {
 	net.Listener
 	maxConns     int           // 0 means no limit
@@ -230,19 +230,42 @@
 // http.Server.ConnContext callback. The connection may be wrapped by others that have a
 // method NetConn.
 func (a *Acceptor) ConnContext(ctx context.Context, nc net.Conn) context.Context {
+	if c, _ := unwrap(nc); c != nil {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
+// ConnState notes on which connections the server waits for the next request: the last
+// response is written then. It is an http.Server.ConnState callback.
+func (a *Acceptor) ConnState(nc net.Conn, state http.ConnState) {
+	if state != http.StateIdle {
+		return
+	}
+	if c, ahead := unwrap(nc); c != nil {
+		a.end(c, ahead)
+	}
+}
+
+// unwrap returns the connection that others wrap, or nil, and whether one of these holds bytes
+// that the server has not read.
+func unwrap(nc net.Conn) (c *conn, ahead bool) {
 	for {
+		if reader, ok := nc.(interface{ HasUnread() bool }); ok && reader.HasUnread() {
+			ahead = true
+		}
 		switch wrapped := nc.(type) {
 		case *conn:
-			return context.WithValue(ctx, connKey{}, wrapped)
+			return wrapped, ahead
 		case interface{ NetConn() net.Conn }:
 			nc = wrapped.NetConn()
 		default:
-			return ctx
+			return nil, false
 		}
 	}
 }
 
-// Handler returns a handler that notes on which connections requests are served.
+// Handler returns a handler that notes on which connections the server reads no head.
 func (a *Acceptor) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*conn)
@@ -251,7 +274,6 @@
 			return
 		}
 		a.begin(c)
-		defer a.end(c)
 		next.ServeHTTP(w, r)
 	})
 }
@@ -260,34 +282,45 @@
 func (a *Acceptor) begin(c *conn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c.serving++
+	c.serving = true
 	a.unlist(c)
 	a.endHead(c)
 }
 
-// end notes that a request was served.
-func (a *Acceptor) end(c *conn) {
+// end notes that the server waits for the next request of a connection. If bytes of it were
+// read ahead, its head is under way.
+func (a *Acceptor) end(c *conn, ahead bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if c.serving--; c.serving == 0 && a.open[c] {
-		c.answered, c.bodyBytes = true, 0
-		if a.shrink(c) {
-			c.setReadBuffer(a.readBuffer)
-		}
-		c.place = a.idle.PushBack(c)
+	if !c.serving || !a.open[c] {
+		return
 	}
+	c.serving, c.answered, c.bodyBytes = false, true, 0
+	if a.shrink(c) {
+		c.setReadBuffer(a.readBuffer)
+	}
+	if ahead || c.readSince.Load() {
+		c.since = time.Now()
+		c.place = a.waiting.PushBack(c)
+		return
+	}
+	c.place = a.idle.PushBack(c)
 }
 
 // addHead adds bytes that were read of a head, and returns the limits on it, whether they are
-// its first bytes, and whether it is too long. If all heads take too much memory, it closes
+// its first bytes, and why they must not be used. If all heads take too much memory, it closes
 // the connections whose heads have been under way the longest. Bytes that are read while a
 // request is served are those of its body, or were sent ahead.
-func (a *Acceptor) addHead(c *conn, n int) (limits HeadLimits, first, tooLong bool) {
+func (a *Acceptor) addHead(c *conn, n int) (limits HeadLimits, first bool, err error) {
 	a.mu.Lock()
-	if c.serving > 0 || !a.open[c] {
+	if !a.open[c] {
+		a.mu.Unlock()
+		return HeadLimits{}, false, net.ErrClosed
+	}
+	if c.serving {
 		a.addBody(c, n)
 		a.mu.Unlock()
-		return HeadLimits{}, false, false
+		return HeadLimits{}, false, nil
 	}
 	if first = c.headBytes == 0; first && c.answered {
 		a.unlist(c)
@@ -297,20 +330,22 @@
 	c.headBytes += int64(n)
 	a.headBytes += int64(n)
 	limits = a.limits
-	tooLong = limits.Bytes > 0 && c.headBytes > int64(limits.Bytes+headSlack)
+	if limits.Bytes > 0 && c.headBytes > int64(limits.Bytes+headSlack) {
+		err = errHeadTooLong
+	}
 	victims := a.headVictims()
 	a.mu.Unlock()
 	for _, victim := range victims {
 		_ = victim.Conn.Close()
 	}
-	return limits, first, tooLong
+	return limits, first, err
 }
 
 // addBody adds bytes that were read while a request was served, and makes the buffer of a
 // connection with a long body larger. The caller holds the lock.
 func (a *Acceptor) addBody(c *conn, n int) {
 	c.bodyBytes += int64(n)
-	if c.bodyBytes > int64(a.readBuffer) && !c.grown && a.grown < a.maxGrown && a.open[c] {
+	if c.bodyBytes > int64(a.readBuffer) && !c.grown && a.grown < a.maxGrown {
 		c.grown = true
 		a.grown++
 		c.setReadBuffer(a.bodyBuffer)
--- a/internal/acceptor/buffer_test.go
+++ b/internal/acceptor/buffer_test.go
@@ -30,7 +30,7 @@
 	recorded := &recorder{Listener: listener}
 	a := acceptor.New(recorded, acceptor.WithReadBuffer(usualBuffer), acceptor.WithBodyBuffer(bodyBuffer, 1))
 	read, respond := make(chan net.Conn), make(chan bool)
-	server := &http.Server{ReadHeaderTimeout: time.Minute, ConnContext: a.ConnContext, Handler: a.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	server := &http.Server{ReadHeaderTimeout: time.Minute, ConnContext: a.ConnContext, ConnState: a.ConnState, Handler: a.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.CopyN(io.Discard, r.Body, 32<<10) // a shorter body ends earlier
 		read <- recorded.accepted(r.RemoteAddr)
 		<-respond
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -27,7 +27,7 @@
 )
 
 // errHeadTooLong is of a kind to which the server adds no response of its own.
-var errHeadTooLong = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("request head is longer than the limit")}
+var errHeadTooLong error = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("request head is longer than the limit")}
 
 // conn is a client's connection. The acceptor's lock guards the fields from place to grown.
 type conn struct {
@@ -35,7 +35,7 @@
 	acceptor  *Acceptor
 	place     *list.Element // in a list of the acceptor; nil while a request is served
 	since     time.Time     // when the connection was accepted, or the head under way began
-	serving   int           // handlers that run; 0 or 1, but for HTTP/2
+	serving   bool          // a request was read, and the server does not wait for the next one yet
 	answered  bool          // a request was served
 	headBytes int64         // read of the head under way
 	bodyBytes int64         // read while the request is served
@@ -43,6 +43,8 @@
 
 	writingSince atomic.Int64 // nanoseconds after the acceptor's start since which a write waits; 0 if none does
 
+	readSince atomic.Bool // bytes were read since the last write
+
 	rejected atomic.Bool // the client was told that the head is too long; nothing else is read or written
 
 	mu         sync.Mutex
@@ -58,10 +60,13 @@
 	if n == 0 {
 		return n, err
 	}
-	limits, first, tooLong := c.acceptor.addHead(c, n)
-	if tooLong {
+	c.readSince.Store(true)
+	limits, first, headErr := c.acceptor.addHead(c, n)
+	if headErr == errHeadTooLong {
 		c.reject()
-		return 0, errHeadTooLong
+	}
+	if headErr != nil {
+		return 0, headErr
 	}
 	if first && limits.Timeout > 0 {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(limits.Timeout)) // fails on a closed connection, as the next read does
@@ -117,6 +122,7 @@
 	if c.rejected.Load() {
 		return 0, errHeadTooLong
 	}
+	c.readSince.Store(false)
 	defer c.writingSince.Store(0)
 	written, unsent := 0, notKnown // unsent is that at the last deadline, if nothing was written since
 	for {
--- a/internal/acceptor/host_test.go
+++ b/internal/acceptor/host_test.go
@@ -25,10 +25,16 @@
 // startHost starts a server whose response to /wait ends a minute later, to /long has a
 // megabyte, and to others is empty.
 func startHost(t *testing.T, options ...acceptor.Option) *host {
+	return startHostBehind(t, func(h *host) net.Listener { return h.acceptor }, options...)
+}
+
+// startHostBehind is startHost for a server that serves another listener in front of the
+// Acceptor, which wrap returns.
+func startHostBehind(t *testing.T, wrap func(h *host) net.Listener, options ...acceptor.Option) *host {
 	h := &host{t: t, conns: make(chan net.Conn), closed: make(chan struct{})}
 	h.acceptor = acceptor.New(h, options...)
 	h.server = &http.Server{
-		ReadHeaderTimeout: time.Minute, ConnContext: h.acceptor.ConnContext,
+		ReadHeaderTimeout: time.Minute, ConnContext: h.acceptor.ConnContext, ConnState: h.acceptor.ConnState,
 		Handler: h.acceptor.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			switch r.URL.Path {
 			case "/wait":
@@ -41,7 +47,8 @@
 			}
 		})),
 	}
-	go func() { _ = h.server.Serve(h.acceptor) }()
+	listener := wrap(h)
+	go func() { _ = h.server.Serve(listener) }()
 	t.Cleanup(func() { _ = h.server.Close() })
 	return h
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -221,6 +221,7 @@
 		server := &http.Server{
 			Handler:           accepted.Handler(e.handler),
 			ConnContext:       accepted.ConnContext,
+			ConnState:         accepted.ConnState,
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/controller/pipelining.go
+++ b/internal/controller/pipelining.go
@@ -32,7 +32,10 @@
 	server.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 		return c.pipeliner.ConnContext(accepted.ConnContext(ctx, nc), nc)
 	}
-	server.ConnState = c.pendingConns.track
+	server.ConnState = func(nc net.Conn, state http.ConnState) {
+		c.pendingConns.track(nc, state)
+		accepted.ConnState(nc, state)
+	}
 	c.dataListener = c.pipeliner.Listener(accepted)
 	return c.dataListener
 }
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -272,6 +272,14 @@
 	return c.Conn.Close()
 }
 
+// HasUnread reports whether the connection holds bytes that the server has not read, or a
+// request that was started ahead.
+func (c *conn) HasUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue) > 0 || c.reached != nil || c.first < c.limit || c.offered
+}
+
 // hasAhead implements HasAhead.
 func (c *conn) hasAhead() bool {
 	c.mu.Lock()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -242,7 +242,7 @@
 	accepted := acceptor.New(listener, acceptor.WithMaxConns(listen.MaxConnections()), acceptor.WithStallTimeout(listen.StallTimeout()),
 		acceptor.WithScope(s.recorder.Scope()))
 	server.Handler = accepted.Handler(server.Handler)
-	server.ConnContext = accepted.ConnContext
+	server.ConnContext, server.ConnState = accepted.ConnContext, accepted.ConnState
 	return accepted
 }
 
