acceptor: never read beyond the deadline that the server has set

Cause: the server ends its waiting read after a response by a deadline in the past. If the first byte of the next request came just before, Read took it for the start of a head and replaced that deadline by the limit on heads. The pipeliner read ahead until then, while the server waited for it.

Ruled out: the write side, which remembers the server's deadline.

Fix: the acceptor remembers the server's deadline of reads and sets none that is later.

--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -47,8 +47,10 @@
 
 	rejected atomic.Bool // the client was told that the head is too long; nothing else is read or written
 
+	// The deadline in force is never later than the one that the server has set.
 	mu         sync.Mutex
-	writeLimit time.Time // deadline that the server has set; zero if there is none
+	readLimit  time.Time // deadline of reads that the server has set; zero if there is none
+	writeLimit time.Time // the same of writes
 }
 
 // Read implements net.Conn.
@@ -69,7 +71,7 @@
 		return 0, headErr
 	}
 	if first && limits.Timeout > 0 {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(limits.Timeout)) // fails on a closed connection, as the next read does
+		c.limitHead(time.Now().Add(limits.Timeout))
 	}
 	return n, err
 }
@@ -91,15 +93,25 @@
 	c.acceptor.mu.Lock()
 	within, timeout := c.headBytes > 0, c.acceptor.limits.Timeout
 	c.acceptor.mu.Unlock()
-	if !within || timeout == 0 {
-		return c.Conn.SetReadDeadline(t)
-	}
-	if latest := time.Now().Add(timeout); t.After(latest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readLimit = t
+	if latest := time.Now().Add(timeout); within && timeout > 0 && t.After(latest) {
 		t = latest
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// limitHead sets the deadline of reads to the latest end of a head, unless the server has set
+// an earlier one: it ends reads that it waits for in this way.
+func (c *conn) limitHead(latest time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readLimit.IsZero() || c.readLimit.After(latest) {
+		_ = c.Conn.SetReadDeadline(latest) // fails on a closed connection, as the next read does
+	}
+}
+
 // SetWriteDeadline implements net.Conn.
 func (c *conn) SetWriteDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/internal/acceptor/idle_test.go
+++ b/internal/acceptor/idle_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -93,3 +94,49 @@
 		is.True(errors.Is(err, net.ErrClosed))
 	})
 }
+
+// deadlineConn is a connection whose read returns a byte that arrived before its deadline,
+// and which records the deadline that is in force.
+type deadlineConn struct {
+	net.Conn
+	arrived  chan struct{}
+	deadline atomic.Pointer[time.Time]
+}
+
+func (c *deadlineConn) Read(p []byte) (int, error) {
+	<-c.arrived
+	return copy(p, "G"), nil
+}
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.deadline.Store(&t)
+	return nil
+}
+
+// Guards against kept connections on which the server reads nothing for seconds: it ends its
+// read after a response by a deadline, and the first byte of the next request comes just
+// before that.
+func TestReadAtTheStartOfAHeadKeepsTheDeadlineOfTheServer(t *testing.T) {
+	for name, deadline := range map[string]time.Duration{"past": -time.Hour, "sooner than the limit": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := &host{t: t, conns: make(chan net.Conn), closed: make(chan struct{})}
+			a := acceptor.New(h)
+			a.SetHeadLimits(acceptor.HeadLimits{Timeout: time.Minute})
+			raw := &deadlineConn{arrived: make(chan struct{})}
+			go func() { h.conns <- raw }()
+			accepted, err := a.Accept()
+			is.NoErr(err)
+			read := make(chan error)
+			go func() {
+				_, err := accepted.Read(make([]byte, 1))
+				read <- err
+			}()
+			want := time.Now().Add(deadline)
+			is.NoErr(accepted.SetReadDeadline(want))
+			raw.arrived <- struct{}{}
+			is.NoErr(<-read)
+			is.True(raw.deadline.Load().Equal(want))
+		})
+	}
+}
