--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -187,7 +187,7 @@
 	}
 	c.lastPick = pick
 	c.triedIDs = append(c.triedIDs, pick.ID())
-	ended := newAttempt(c.dispatcher.roundTripper.RoundTrip(ctx, roundtripper.Target{Address: pick.Address(), Instance: pick.ID()}, c.outgoingRequest(pick, left)))
+	ended := newAttemptResult(c.dispatcher.roundTripper.RoundTrip(ctx, roundtripper.Target{Address: pick.Address(), Instance: pick.ID()}, c.outgoingRequest(pick, left)))
 	load := c.reportedLoad(ended)
 	load.Bytes = exchangedBytes(c.r.ContentLength, ended.resp)
 	c.logPause(pick, load)
@@ -276,7 +276,7 @@
 
 // reportedLoad decodes what a backend server reports of itself in the headers of its
 // response, whatever that response says of the request.
-func (c *call) reportedLoad(a *attempt) placer.Load {
+func (c *call) reportedLoad(a *attemptResult) placer.Load {
 	var shed *roundtripper.ShedError
 	var load placer.Load
 	switch {
@@ -295,7 +295,7 @@
 
 // afterFailure decides after a failed attempt whether to retry, to forward the
 // backend server's error response, or to refuse the request.
-func (c *call) afterFailure(ctx context.Context, failed *attempt) (*roundtripper.Response, *admitter.Refusal, bool) {
+func (c *call) afterFailure(ctx context.Context, failed *attemptResult) (*roundtripper.Response, *admitter.Refusal, bool) {
 	if !failed.unreachable() {
 		c.sentAttempts++
 	}
--- a/internal/dispatcher/outcome.go
+++ b/internal/dispatcher/outcome.go
@@ -26,18 +26,18 @@
 	unknown
 )
 
-// attempt is a finished attempt to have a request executed by a backend server, or by
+// attemptResult is the end of an attempt to have a request executed by a backend server, or by
 // another host.
-type attempt struct {
+type attemptResult struct {
 	resp    *roundtripper.Response // nil if err is not
 	err     error
 	outcome outcome
 }
 
-// newAttempt names the outcome of an attempt. All that depends on whether the request may
+// newAttemptResult names the outcome of an attempt. All that depends on whether the request may
 // have been executed asks for this outcome and not for the status or the error.
-func newAttempt(resp *roundtripper.Response, err error) *attempt {
-	a := &attempt{resp: resp, err: err}
+func newAttemptResult(resp *roundtripper.Response, err error) *attemptResult {
+	a := &attemptResult{resp: resp, err: err}
 	switch {
 	case a.shed() || a.misdirected() || a.unreachable():
 		a.outcome = notRun
@@ -49,27 +49,27 @@
 	return a
 }
 
-func (a *attempt) shed() bool        { return errors.Is(a.err, forwarder.ErrShed) }
-func (a *attempt) misdirected() bool { return errors.Is(a.err, roundtripper.ErrMisdirected) }
-func (a *attempt) unreachable() bool { return errors.Is(a.err, roundtripper.ErrUnreachable) }
+func (a *attemptResult) shed() bool        { return errors.Is(a.err, forwarder.ErrShed) }
+func (a *attemptResult) misdirected() bool { return errors.Is(a.err, roundtripper.ErrMisdirected) }
+func (a *attemptResult) unreachable() bool { return errors.Is(a.err, roundtripper.ErrUnreachable) }
 
 // unprovenRefusal reports whether the response has a status by which callers conclude that
 // the request was not executed, though nothing proves that. Round trippers return proven
 // refusals as errors.
-func (a *attempt) unprovenRefusal() bool { return a.resp != nil && impliesNotRun(a.resp.Status) }
+func (a *attemptResult) unprovenRefusal() bool { return a.resp != nil && impliesNotRun(a.resp.Status) }
 
 // forwardable reports whether the caller may get the response.
-func (a *attempt) forwardable() bool { return a.resp != nil && !a.unprovenRefusal() }
+func (a *attemptResult) forwardable() bool { return a.resp != nil && !a.unprovenRefusal() }
 
 // discard ends the reading of a response that nobody gets.
-func (a *attempt) discard() {
+func (a *attemptResult) discard() {
 	if a.resp != nil && a.resp.Rest != nil {
 		_ = a.resp.Rest.Close()
 	}
 }
 
-// result returns the result of the attempt for the attempt log.
-func (a *attempt) result() string {
+// logName returns what the attempt log calls the result.
+func (a *attemptResult) logName() string {
 	switch {
 	case a.outcome == answered:
 		return attemptAnswered
@@ -85,7 +85,7 @@
 
 // cause returns what an unreached server or an unknown outcome is due to, for the attempt
 // log, or "".
-func (a *attempt) cause() string {
+func (a *attemptResult) cause() string {
 	switch {
 	case a.outcome != unknown && !a.unreachable():
 		return ""
@@ -106,7 +106,7 @@
 }
 
 // placerOutcome returns what the attempt tells the placer of the backend server.
-func (c *call) placerOutcome(ctx context.Context, a *attempt) placer.Outcome {
+func (c *call) placerOutcome(ctx context.Context, a *attemptResult) placer.Outcome {
 	switch {
 	case a.outcome == answered:
 		return placer.Answered
@@ -125,7 +125,7 @@
 }
 
 // observe takes over what an attempt proves about the execution of the request.
-func (c *call) observe(a *attempt) {
+func (c *call) observe(a *attemptResult) {
 	c.mayHaveRun = c.mayHaveRun || a.outcome == unknown
 	if a.unprovenRefusal() {
 		c.unproven = a.resp.Status
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -73,7 +73,7 @@
 
 // reportToQuarantine reports the end of an attempt. If the connection broke, it starts
 // to find out whether the backend server crashed.
-func (c *call) reportToQuarantine(ctx context.Context, pick placer.Pick, ended *attempt) {
+func (c *call) reportToQuarantine(ctx context.Context, pick placer.Pick, ended *attemptResult) {
 	d := c.dispatcher
 	c.attributed = nil
 	// A failing server may respond with an error before it runs the request.
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -41,7 +41,7 @@
 	c.triedRelays = append(c.triedRelays, target.Instance)
 	startedAt := c.dispatcher.clock.Now()
 	attempts := c.maxAttempts - c.sentAttempts
-	ended := c.newRelayAttempt(c.dispatcher.relays.RoundTrip(ctx, target, c.relayRequest(left, attempts)))
+	ended := c.newRelayResult(c.dispatcher.relays.RoundTrip(ctx, target, c.relayRequest(left, attempts)))
 	c.observe(ended)
 	c.recordRelay(target, startedAt, ended)
 	var shed *roundtripper.ShedError
@@ -73,10 +73,10 @@
 	return nil, admitter.RefuseUnknown(status, relayedReason(ended.resp.Header), "the host that the request was relayed to got no answer"), false
 }
 
-// newRelayAttempt names the outcome of an attempt at another host. Its word is proof of
+// newRelayResult names the outcome of an attempt at another host. Its word is proof of
 // nothing but a refusal with the not-run header; without a signature a response is its own.
-func (c *call) newRelayAttempt(resp *roundtripper.Response, err error) *attempt {
-	a := newAttempt(resp, err)
+func (c *call) newRelayResult(resp *roundtripper.Response, err error) *attemptResult {
+	a := newAttemptResult(resp, err)
 	if a.misdirected() || a.outcome == answered && !c.signed(resp) {
 		a.outcome = unknown
 	}
@@ -131,7 +131,7 @@
 }
 
 // recordRelay appends the result of relaying the request to the attempt log.
-func (c *call) recordRelay(target roundtripper.Target, startedAt time.Duration, ended *attempt) {
+func (c *call) recordRelay(target roundtripper.Target, startedAt time.Duration, ended *attemptResult) {
 	result := attemptRelayed
 	switch {
 	case ended.err != nil:
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -30,9 +30,9 @@
 // recordAttempt appends the result of an attempt to the attempt log, in the form
 // "instance:result:duration", followed by the cause if the result is unknown or the
 // backend server was not reached.
-func (c *call) recordAttempt(pick placer.Pick, ended *attempt) {
+func (c *call) recordAttempt(pick placer.Pick, ended *attemptResult) {
 	took := c.dispatcher.clock.Now() - pick.StartedAt()
-	text := pick.ID() + ":" + ended.result() + ":" + strconv.FormatInt(took.Milliseconds(), 10) + "ms"
+	text := pick.ID() + ":" + ended.logName() + ":" + strconv.FormatInt(took.Milliseconds(), 10) + "ms"
 	if cause := ended.cause(); cause != "" {
 		text += ":" + cause
 	}
