soak: answer with all four statuses that imply "not run" without proof

A part of these faults have the other statuses now; the draws of all seeds stay the same, so that the regressions keep theirs.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -296,6 +296,10 @@
 	pending.Wait()
 }
 
+// unprovenRefusals are responses to executed requests by which callers would conclude that
+// these were not executed.
+var unprovenRefusals = []target.Fault{target.Unavailable, "status 408", "status 421", "status 429"}
+
 // startFault starts a random fault and returns the function that ends it.
 func (s *soak) startFault() func() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
@@ -335,8 +339,12 @@
 			target.Shed, target.NoResponse, target.Reset, target.CutShort, target.ForeignResponse, target.DuplicateResponse, target.Garbage,
 			target.Unsigned, target.NoContentLength, target.ServerError, target.Unavailable, target.Hang, target.UnannouncedClose, target.Misdirected,
 		}
-		for range 5 {
-			s.targets[i].QueueFaults(faults[rng.IntN(len(faults))])
+		for n := range 5 {
+			fault := faults[rng.IntN(len(faults))]
+			if fault == target.Unavailable {
+				fault = unprovenRefusals[(n+i)%len(unprovenRefusals)]
+			}
+			s.targets[i].QueueFaults(fault)
 		}
 		return func() {}
 	default:
