dispatcher: test the outcome of an upload that stalls after it was sent on

The host's own 408 is for bodies that stall before anything is sent. The test holds that an upload whose beginning has been sent on gets 504; it passed at once. Ruled out by reading: other statuses that promise "not run" after a send; the HTTP server writes none of them, and every refusal as not run that can follow a send asks mayHaveRun.

--- a/internal/dispatcher/outcome_test.go
+++ b/internal/dispatcher/outcome_test.go
@@ -1,7 +1,9 @@
 package dispatcher_test
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -151,3 +153,18 @@
 	}
 	is.True(refused >= 3) // the burst is four and the rate one per second
 }
+
+// Guards against a 408 or 503 for an upload whose beginning was sent on when its rest stalled.
+func TestUploadThatStallsAfterItsBeginningWasSentHasAnUnknownOutcome(t *testing.T) {
+	is := is.New(t)
+	s := newTestHost(t, 1)
+	conn, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /order/ HTTP/1.1\r\nHost: shop\r\n%s: id-1\r\nContent-Length: 200000\r\n\r\n%s", headerNames.RequestID, strings.Repeat("x", 100_000))
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
+	is.Equal(resp.Header.Get(header.Reason), header.ReasonDeadline)
+}
