dispatcher: check once that a refusal promises nothing false

Four places that refuse a request as not run each asked whether an earlier attempt may have executed it. dispatch asks once for all of them now, also for refusals that are added later; afterFailure still asks for the attempt that it is about. The two clamps of another host's status are one function.

Behaviour is the same.

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -112,6 +112,7 @@
 			continue
 		}
 		if refusal != nil {
+			refusal = c.withoutPromise(refusal)
 			c.refund(refusal)
 			return refusal
 		}
@@ -345,9 +346,6 @@
 // noServerChosen returns the refusal of a request for which the placer chose no
 // backend server.
 func (c *call) noServerChosen(verdict placer.Verdict, wait time.Duration) *admitter.Refusal {
-	if c.mayHaveRun {
-		return c.outcomeUnknown()
-	}
 	if verdict == placer.NoRoom {
 		return unavailable(header.ReasonQueueFull, "no backend server would answer in time", c.retryAfter(wait))
 	}
--- a/internal/dispatcher/outcome.go
+++ b/internal/dispatcher/outcome.go
@@ -133,6 +133,15 @@
 	}
 }
 
+// withoutPromise returns the refusal to send in place of one as not run, if an earlier attempt
+// may have executed the request.
+func (c *call) withoutPromise(refusal *admitter.Refusal) *admitter.Refusal {
+	if c.mayHaveRun && refusal.Outcome() == header.OutcomeNotRun {
+		return c.outcomeUnknown()
+	}
+	return refusal
+}
+
 // outcomeUnknown returns the refusal of a request that may have been executed.
 func (c *call) outcomeUnknown() *admitter.Refusal {
 	if c.unproven != 0 {
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -57,9 +57,6 @@
 
 // quarantined returns the refusal of a quarantined request.
 func (c *call) quarantined() *admitter.Refusal {
-	if c.mayHaveRun {
-		return c.outcomeUnknown()
-	}
 	retryAfter := max(c.dispatcher.quarantine.RetryAfter(c.dispatcher.clock.Now(), c.digest()), minRetryAfter)
 	return unavailable(header.ReasonQuarantined, "backend servers crashed while they ran this request", retryAfter)
 }
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -66,10 +66,7 @@
 	case ended.unprovenRefusal():
 		return nil, c.outcomeUnknown(), false
 	}
-	status := ended.resp.Status
-	if status < http.StatusBadRequest {
-		status = http.StatusBadGateway
-	}
+	status := errorStatus(ended.resp.Status, http.StatusBadGateway)
 	return nil, admitter.RefuseUnknown(status, relayedReason(ended.resp.Header), "the host that the request was relayed to got no answer"), false
 }
 
@@ -98,18 +95,20 @@
 			return nil, nil, true
 		}
 	}
-	if c.mayHaveRun {
-		return nil, c.outcomeUnknown(), false
-	}
 	retryAfter, err := strconv.ParseInt(shed.Header().Get(header.RelayRetryAfter), 10, 64)
 	if err != nil {
 		retryAfter = 0 // a retry does not help
 	}
-	status := shed.Status()
+	status := errorStatus(shed.Status(), http.StatusServiceUnavailable)
+	return nil, admitter.RefuseNotRun(status, reason, "the host that the request was relayed to refused it", time.Duration(retryAfter)*time.Millisecond), false
+}
+
+// errorStatus returns a status if it is that of an error, and another one if not.
+func errorStatus(status, otherwise int) int {
 	if status < http.StatusBadRequest {
-		status = http.StatusServiceUnavailable
+		return otherwise
 	}
-	return nil, admitter.RefuseNotRun(status, reason, "the host that the request was relayed to refused it", time.Duration(retryAfter)*time.Millisecond), false
+	return status
 }
 
 // relayedReason returns the reason of a refusal of another host.
--- a/internal/dispatcher/stopping.go
+++ b/internal/dispatcher/stopping.go
@@ -30,8 +30,5 @@
 	if current.allows(now, c.deadline, expected) {
 		return nil
 	}
-	if c.mayHaveRun {
-		return c.outcomeUnknown()
-	}
 	return unavailable(header.ReasonStopping, "the host is stopping, use another", stoppingRetryAfter)
 }
