server: take from the chart that a request may have run

The flag mayHaveRun repeated what the request's chart knows: a request that was repeated and is not under way is in the state "repeated". A refusal that is left in it has an unknown outcome.

--- a/internal/server/call.go
+++ b/internal/server/call.go
@@ -22,6 +22,10 @@
 
 const maxAttempts = 4 // attempts of one request, including the first
 
+// stateRepeated is the state in the request chart of a request that may have run and waits for
+// a further attempt.
+const stateRepeated transitioner.State = "repeated"
+
 // call is one request while this host serves it.
 type call struct {
 	server      *Server
@@ -35,7 +39,6 @@
 	pool        *pool
 	body        *forwarder.Body
 	attempted   []string
-	mayHaveRun  bool          // an attempt was repeated although the request may have run
 	queueTime   time.Duration // time spent waiting for a slot
 }
 
@@ -75,7 +78,7 @@
 	defer timer.Stop()
 	c.pool.retries.Earn()
 	refusal = c.sendWithRetries(ctx, timer, timeLimit, min(timeLimit, service.QueueTimeout()))
-	if refusal != nil && refusal.Outcome() == header.OutcomeNotRun && c.mayHaveRun {
+	if refusal != nil && c.state == stateRepeated {
 		c.fire("break")
 		return c.unknownRefusal(ctx, nil)
 	}
@@ -185,7 +188,6 @@
 		}
 		return c.notRunRefusal(ctx, err)
 	case retryable && idempotent(c.r.Method) && c.pool.retries.Spend():
-		c.mayHaveRun = true
 		c.fire("repeat")
 		return nil
 	}
