verifier: compare field names with the library's function

The scanner of heads folded case by a function of its own, and had a constant of which only the length was used. Behaviour is the same for all heads that the HTTP library accepts: a version in lower case is none to it. The tests of verifier, round tripper and forwarder pass unchanged; FuzzHead for 10 s found nothing.

--- a/internal/verifier/scanner.go
+++ b/internal/verifier/scanner.go
@@ -8,8 +8,7 @@
 
 const (
 	encodingField = "transfer-encoding:"
-	oldVersion    = "http/1.0 "
-	anyVersion    = "http/1.x "
+	oldVersion    = "HTTP/1.0 "
 )
 
 // HeadScanner finds in the bytes of a connection what the HTTP library hides of the head of a
@@ -23,7 +22,7 @@
 	lines   int  // whole ones of the head
 	blank   bool // the line has nothing but blanks
 	length  int  // of the line
-	// start is the beginning of the line in lower case, up to length bytes of it.
+	// start is the beginning of the line, up to length bytes of it.
 	start [len(encodingField)]byte
 }
 
@@ -46,10 +45,10 @@
 		}
 		s.blank = (s.length == 0 || s.blank) && (b == ' ' || b == '\t' || b == '\r')
 		if s.length < len(s.start) {
-			s.start[s.length] = lower(b)
+			s.start[s.length] = b
 		}
 		s.length++
-		if s.old && s.length == len(s.start) && string(s.start[:]) == encodingField {
+		if s.old && s.length == len(s.start) && strings.EqualFold(string(s.start[:]), encodingField) {
 			s.ended = true
 			return i, errors.Wrap(ErrInvalid, "Transfer-Encoding in HTTP/1.0")
 		}
@@ -57,13 +56,6 @@
 	return len(p), nil
 }
 
-func lower(b byte) byte {
-	if b >= 'A' && b <= 'Z' {
-		return b + 'a' - 'A'
-	}
-	return b
-}
-
 // endLine takes the end of a line.
 func (s *HeadScanner) endLine() {
 	line := string(s.start[:min(s.length, len(s.start))])
@@ -71,7 +63,7 @@
 	switch {
 	case s.lines == 0:
 		s.old = strings.HasPrefix(line, oldVersion)
-		status := strings.TrimLeft(line[min(len(line), len(anyVersion)):], " ")
+		status := strings.TrimLeft(line[min(len(line), len(oldVersion)):], " ")
 		s.interim = strings.HasPrefix(status, "1")
 		s.ended = !s.old && !s.interim
 	case empty && s.interim:
