--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -51,11 +51,7 @@
 		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
 			s := newTestHost(t, 1)
-			if len(c.Faults) > 1 {
-				s.planFaults(c.Faults)
-			} else {
-				s.backends[0].QueueFaults(c.Faults...)
-			}
+			s.setFaults(c.Faults)
 			if c.Size > 0 {
 				c.Body = strings.Repeat("x", c.Size)
 			}
@@ -73,6 +69,16 @@
 	}
 }
 
+// setFaults makes the attempts of the next request meet faults, in order. With one fault or
+// none there is one backend server.
+func (s *testHost) setFaults(faults []target.Fault) {
+	if len(faults) > 1 {
+		s.planFaults(faults)
+		return
+	}
+	s.backends[0].QueueFaults(faults...)
+}
+
 // planFaults replaces the backend servers by two with one fault each, so that the
 // first attempt meets the first fault and the second attempt the second.
 func (s *testHost) planFaults(faults []target.Fault) {
--- a/internal/dispatcher/outcome_test.go
+++ b/internal/dispatcher/outcome_test.go
@@ -18,8 +18,6 @@
 	"magnoliahill.example/magnoliahill/pkg/quarantiner"
 )
 
-var notRunStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
-
 // outcomeCase is one case of the data file.
 type outcomeCase struct {
 	Name   string
@@ -40,11 +38,16 @@
 func (c *outcomeCase) faultsOf(status int) []target.Fault {
 	faults := slices.Clone(c.Faults)
 	for i, fault := range faults {
-		faults[i] = target.Fault(strings.ReplaceAll(string(fault), "STATUS", fmt.Sprint("status ", status)))
+		faults[i] = withStatus(fault, status)
 	}
 	return faults
 }
 
+// withStatus replaces "STATUS" in a fault of a data file.
+func withStatus(fault target.Fault, status int) target.Fault {
+	return target.Fault(strings.ReplaceAll(string(fault), "STATUS", fmt.Sprint("status ", status)))
+}
+
 // interfere changes what the case says while the first attempt runs, and then lets the
 // attempt end.
 func (c *outcomeCase) interfere(s *testHost, release func()) {
@@ -62,11 +65,7 @@
 func (c *outcomeCase) play(t *testing.T, status int) {
 	is := is.New(t)
 	s := newTestHost(t, 1)
-	if faults := c.faultsOf(status); len(faults) > 1 {
-		s.planFaults(faults)
-	} else {
-		s.backends[0].QueueFaults(faults...)
-	}
+	s.setFaults(c.faultsOf(status))
 	if c.Down {
 		s.backends[1].Close()
 	}
--- a/internal/dispatcher/relay_test.go
+++ b/internal/dispatcher/relay_test.go
@@ -93,11 +93,7 @@
 		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
 			p := newRelayPair(t, 1, false)
-			if len(c.Faults) > 1 {
-				p.far.planFaults(c.Faults)
-			} else {
-				p.far.backends[0].QueueFaults(c.Faults...)
-			}
+			p.far.setFaults(c.Faults)
 			body := strings.Repeat("x", c.Size)
 			got := p.near.send(c.Method, c.Path, "id-1", body)
 			is.Equal(got.status, c.Status)
@@ -214,9 +210,9 @@
 	Name    string
 	Method  string
 	Path    string
-	Fault   string // of the other host's response
-	Except  []int  // statuses for which the case is not played
-	Same    bool   // the caller gets the status that the other host answered
+	Fault   target.Fault // of the other host's response
+	Except  []int        // statuses for which the case is not played
+	Same    bool         // the caller gets the status that the other host answered
 	Status  int
 	Reason  string
 	Stamped bool
@@ -228,7 +224,7 @@
 	other, err := target.Start("other", headerNames)
 	is.NoErr(err)
 	t.Cleanup(other.Close)
-	other.QueueFaults(target.Fault(strings.ReplaceAll(c.Fault, "STATUS", fmt.Sprint("status ", status))))
+	other.QueueFaults(withStatus(c.Fault, status))
 	p := newRelayPair(t, 1, false)
 	p.relays.addresses = []string{other.Address()}
 	got := p.near.send(c.Method, c.Path, "id-1", "brooms")
@@ -248,7 +244,7 @@
 	readCases(t, "relay-responses.yaml", &cases)
 	for _, c := range cases {
 		statuses := notRunStatuses
-		if !strings.Contains(c.Fault, "STATUS") {
+		if !strings.Contains(string(c.Fault), "STATUS") {
 			statuses = []int{0}
 		}
 		for _, status := range statuses {
--- a/internal/dispatcher/testhost_test.go
+++ b/internal/dispatcher/testhost_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -164,11 +165,7 @@
 	return result{status: resp.StatusCode, body: string(data), header: resp.Header, broken: err != nil}
 }
 
-// impliesNotRun reports whether a status means that the request was not executed.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
+// notRunStatuses are the statuses that mean that the request was not executed.
+var notRunStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+func impliesNotRun(status int) bool { return slices.Contains(notRunStatuses, status) }
--- a/internal/standin/target/status.go
+++ b/internal/standin/target/status.go
@@ -40,14 +40,14 @@
 
 // formatStatus returns the response of a fault.
 func (t *Responder) formatStatus(status statusFault, id string) string {
-	head := "HTTP/1.1 " + status.text + "\r\n" + t.headers.RequestID + ": " + id + "\r\n"
+	const body = "done"
 	switch {
 	case status.notRun:
-		head += t.headers.NotRun + ": 1\r\n"
-	case !status.unsigned:
-		head += t.headers.ResponseStamp + ": s." + id + "\r\n"
+		return t.formatUnsigned(status.text, id, len(body), t.headers.NotRun+": 1\r\n"+t.extra()) + body
+	case status.unsigned:
+		return t.formatUnsigned(status.text, id, len(body), t.extra()) + body
 	}
-	return head + t.headers.Load + ": 1,0,8\r\n" + t.extra() + "Content-Length: 4\r\n\r\ndone"
+	return t.formatHead(status.text, id, len(body), t.extra()) + body
 }
 
 // HoldResponses makes the target execute requests without a response until the returned
